--- /dev/null
+++ b/Makefile
@@ -0,0 +1,27 @@
+# Two commands for a newcomer: `make demo` and `make test`.
+VENV := .venv
+BIN := $(VENV)/bin
+
+$(VENV)/.installed: requirements.lock pyproject.toml
+	python3.11 -m venv $(VENV)
+	$(BIN)/pip install -q -r requirements.lock
+	$(BIN)/pip install -q --no-deps -e .
+	touch $@
+
+.PHONY: demo test bench format
+demo: $(VENV)/.installed
+	$(BIN)/python scripts/demo.py
+
+test: $(VENV)/.installed
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/mypy --strict
+	$(BIN)/lint-imports
+	$(BIN)/pytest
+
+bench: $(VENV)/.installed
+	$(BIN)/python scripts/bench.py
+
+format: $(VENV)/.installed
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
--- /dev/null
+++ b/scripts/demo.py
@@ -0,0 +1,238 @@
+"""Runs both example deployments end to end on loopback and checks what came out.
+
+Exit status 0 only if every check of the summary holds.
+"""
+
+import sys
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import anyio
+import httpx
+import msgspec
+from deployment import API_KEYS, Deployment
+
+from worksramp.platform.base import GenerateRequest, GenerationChunk
+from worksramp.platform.http import HttpEngineClient
+from worksramp_emulator.engine import TokenRun
+from worksramp_emulator.load import LoadTarget, run_completions, run_keyed_calls
+from worksramp_emulator.text import whole_completion
+from worksramp_emulator.trainer import TrainerRecord
+from worksramp_emulator.trainer_http import read_record
+
+RUN_DIRECTORY = Path("run")
+NUM_STEPS = 4
+TRAIN_SECONDS = 1.0
+NUM_LIVE_REQUESTS = 120
+LIVE_CONCURRENCY = 8
+NUM_KEYED_REQUESTS = 15
+NUM_DIRECT_REQUESTS = 60
+TRAINER_TIMEOUT_SECONDS = 120.0
+MILLISECONDS = 1000
+
+
+@dataclass(slots=True)
+class Row:
+    """One line of the summary; a line without an expectation is a figure only."""
+
+    name: str
+    value: str
+    is_good: bool | None = None
+
+
+@dataclass(slots=True)
+class Summary:
+    """Lines of one deployment."""
+
+    deployment: str
+    rows: list[Row] = field(default_factory=list)
+
+    def check(self, name: str, value: object, is_good: bool) -> None:
+        """Add a line that must hold."""
+        self.rows.append(Row(name, str(value), is_good))
+
+    def figure(self, name: str, value: object) -> None:
+        """Add a line that only informs."""
+        self.rows.append(Row(name, str(value)))
+
+    @property
+    def is_good(self) -> bool:
+        """Whether every check holds."""
+        return all(row.is_good is not False for row in self.rows)
+
+    def print(self) -> None:
+        """Print the table."""
+        print(f"\n{self.deployment}")
+        for row in self.rows:
+            verdict = {True: "ok", False: "FAILED", None: ""}[row.is_good]
+            print(f"  {row.name:<48} {row.value:>24}  {verdict}")
+
+
+def percentile(values: list[float], share: float) -> float:
+    """Return a percentile of values, 0.0 for none."""
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))] if ordered else 0.0
+
+
+def format_ms(seconds: float) -> str:
+    """Return seconds as milliseconds."""
+    return f"{seconds * MILLISECONDS:.1f} ms"
+
+
+async def run_deployment(name: str) -> Summary:
+    """Run one deployment to its end."""
+    summary = Summary(name)
+    deployment = Deployment.plan(name, RUN_DIRECTORY / name)
+    started_at = time.monotonic()
+    try:
+        deployment.start_platform()
+        for index in range(len(deployment.nodes)):
+            deployment.start_node(index)
+        for index in range(len(deployment.nodes)):
+            await deployment.wait_ready(index)
+        summary.figure("start-up of all processes", f"{time.monotonic() - started_at:.1f} s")
+        await deployment.configure()
+        await exercise(deployment, summary)
+        memory = max(deployment.memory_mib(f"node-{index}") for index in range(len(deployment.nodes)))
+        summary.figure("resident memory of the largest node", f"{memory:.0f} MiB")
+    finally:
+        codes = deployment.stop()
+    summary.check("nodes that stopped in order", len(codes), all(code == 0 for code in codes.values()))
+    return summary
+
+
+async def exercise(deployment: Deployment, summary: Summary) -> None:
+    """Run trainers and live traffic, then check the records."""
+    jobs = tuple(deployment.example.prompt_files)
+    files = {job: deployment.start_trainer(job, NUM_STEPS, TRAIN_SECONDS) for job in jobs}
+    target = LoadTarget(tuple(deployment.nodes), API_KEYS["caller"], deployment.example.model)
+    await wait_routable(deployment)
+    live = await run_completions(target, NUM_LIVE_REQUESTS, LIVE_CONCURRENCY)
+    summary.check(
+        "live requests answered whole",
+        f"{len(live.seconds)} of {NUM_LIVE_REQUESTS}",
+        len(live.seconds) == NUM_LIVE_REQUESTS and live.num_wrong == 0,
+    )
+    for refusal in live.refusals[:3]:
+        summary.figure("refusal", refusal)
+    summary.figure("live p50 beside rollout", format_ms(percentile(live.seconds, 0.5)))
+    summary.figure("live p99 beside rollout", format_ms(percentile(live.seconds, 0.99)))
+    await check_keyed(deployment, summary)
+    for job in jobs:
+        await wait_process(deployment, f"trainer-{job}")
+        await check_job(deployment, summary, job, read_record(str(files[job])))
+    await compare_latency(deployment, summary)
+
+
+async def wait_routable(deployment: Deployment) -> None:
+    """Wait until every gateway answers a completion; reports must have come in first."""
+    body = {"model": deployment.example.model, "prompt": "warm-up", "max_tokens": 4}
+    headers = {"authorization": f"Bearer {API_KEYS['caller']}"}
+    async with httpx.AsyncClient(headers=headers, trust_env=False) as client:
+        for node in deployment.nodes:
+            with anyio.fail_after(TRAINER_TIMEOUT_SECONDS):
+                while True:
+                    response = await client.post(f"http://{node}/v1/completions", json=body, timeout=30.0)
+                    if response.is_success:
+                        break
+                    await anyio.sleep(0.2)
+
+
+async def wait_process(deployment: Deployment, name: str) -> None:
+    """Wait for a process to end."""
+    with anyio.fail_after(TRAINER_TIMEOUT_SECONDS):
+        while deployment.processes[name].poll() is None:
+            await anyio.sleep(0.1)
+
+
+async def check_keyed(deployment: Deployment, summary: Summary) -> None:
+    """Send keyed requests twice each and count how often they ran."""
+    application = deployment.example.application
+    keyed = await run_keyed_calls(
+        tuple(deployment.nodes), API_KEYS["caller"], application, NUM_KEYED_REQUESTS
+    )
+    runs: dict[str, int] = {}
+    async with httpx.AsyncClient(trust_env=False) as client:
+        for address in deployment.applications:
+            for request_id, count in (await client.get(f"http://{address}/runs")).json().items():
+                runs[request_id] = runs.get(request_id, 0) + count
+    num_completed = sum(1 for outcome in keyed.outcomes.values() if outcome == "completed")
+    num_twice = sum(1 for count in runs.values() if count > 1)
+    summary.check(
+        "keyed requests completed", f"{num_completed} of {NUM_KEYED_REQUESTS}", num_completed == len(runs)
+    )
+    summary.check("keyed requests run twice", num_twice, num_twice == 0 and len(runs) == NUM_KEYED_REQUESTS)
+
+
+async def check_job(deployment: Deployment, summary: Summary, job: str, record: TrainerRecord) -> None:
+    """Check what one trainer took in against the engines' own records."""
+    samples = [sample for batch in record.batches for sample in batch.samples]
+    bound = {"explanations": 2, "disputes": 1, "replies": 2}[job]
+    duplicates = len(samples) - len({sample.index for sample in samples})
+    staleness = record.staleness()
+    truth = await read_truth(deployment)
+    num_wrong = sum(
+        1
+        for sample in samples
+        for segment in sample.segments
+        for index in range(segment.start, segment.end)
+        if segment.weight_version not in truth.get((sample.prompt, "".join(sample.tokens), index), set())
+    )
+    summary.check(f"{job}: steps delivered", len(record.batches), len(record.batches) == NUM_STEPS)
+    summary.check(f"{job}: samples delivered", len(samples), len(samples) > 0)
+    summary.check(f"{job}: duplicates", duplicates, duplicates == 0)
+    summary.check(f"{job}: tokens with a wrong weight version", num_wrong, num_wrong == 0)
+    num_stale = sum(1 for age in staleness if age > bound)
+    summary.check(f"{job}: samples staler than {bound}", num_stale, num_stale == 0)
+    summary.figure(
+        f"{job}: staleness mean / max", f"{sum(staleness) / len(staleness):.2f} / {max(staleness)}"
+    )
+    summary.figure(f"{job}: trainer idle share", f"{record.idle_share:.2f}")
+
+
+async def read_truth(deployment: Deployment) -> dict[tuple[str, str, int], set[int]]:
+    """Return which weight versions produced each token: by prompt, whole text and token index."""
+    truth: dict[tuple[str, str, int], set[int]] = {}
+    async with httpx.AsyncClient(trust_env=False) as client:
+        for address in deployment.engines:
+            body = (await client.get(f"http://{address}/token_runs")).content
+            for run in msgspec.json.decode(body, type=list[TokenRun]):
+                text = whole_completion(run.prompt, run.seed, run.max_tokens)
+                for index in range(run.start, run.end):
+                    truth.setdefault((run.prompt, text, index), set()).add(run.weight_version)
+    return truth
+
+
+async def compare_latency(deployment: Deployment, summary: Summary) -> None:
+    """Measure what a gateway adds to a direct call, alternating between the two."""
+    direct: list[float] = []
+    through: list[float] = []
+    target = LoadTarget((deployment.nodes[0],), API_KEYS["caller"], deployment.example.model, 8)
+    async with httpx.AsyncClient(trust_env=False) as client:
+        engines = HttpEngineClient(client)
+        for number in range(NUM_DIRECT_REQUESTS):
+            request = GenerateRequest(
+                f"direct-{number}", target.model, "Live question 0 of a customer", 8, seed=0
+            )
+            address = deployment.engines[number % len(deployment.engines)]
+            started_at = time.monotonic()
+            _: list[GenerationChunk] = [chunk async for chunk in engines.generate(address, request)]
+            direct.append(time.monotonic() - started_at)
+            record = await run_completions(target, 1, 1)
+            through += record.seconds
+    for name, seconds in (("direct call", direct), ("through a gateway", through)):
+        middle, high = format_ms(percentile(seconds, 0.5)), format_ms(percentile(seconds, 0.99))
+        summary.figure(f"{name} p50 / p99", f"{middle} / {high}")
+
+
+async def run_all() -> bool:
+    """Run the deployments one after the other."""
+    summaries = [await run_deployment(name) for name in ("zwrotka", "litoral")]
+    for summary in summaries:
+        summary.print()
+    return all(summary.is_good for summary in summaries)
+
+
+if __name__ == "__main__":
+    sys.exit(0 if anyio.run(run_all) else 1)
--- /dev/null
+++ b/scripts/deployment.py
@@ -0,0 +1,260 @@
+"""Starts one example deployment as separate processes on loopback, and stops them by process id."""
+
+import hashlib
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tomllib
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import anyio
+import httpx
+import msgspec
+
+from worksramp.platform.base import Machine, MachineRole
+from worksramp.rollout.document import group_name
+
+BIN = Path(sys.executable).parent
+ROOT = Path(__file__).resolve().parent.parent
+HOST = "127.0.0.1"
+READY_TIMEOUT_SECONDS = 60.0
+STOP_TIMEOUT_SECONDS = 30.0
+OK = 200
+API_KEYS = {"caller": "caller-key", "trainer": "trainer-key", "operator": "operator-key"}
+
+
+class EngineTable(msgspec.Struct, forbid_unknown_fields=True):
+    """Speed of the emulated engines."""
+
+    max_num_seqs: int
+    step_base_seconds: float
+    step_per_sequence_seconds: float
+    load_seconds: float
+
+
+class Example(msgspec.Struct, forbid_unknown_fields=True):
+    """A deployment as its ``deployment.toml`` gives it."""
+
+    tenant: str
+    zones: tuple[str, ...]
+    fleet: str
+    model: str
+    application: str
+    num_engines: int
+    num_application_workers: int
+    prompt_files: dict[str, str]
+    configuration: str
+    engine: EngineTable
+
+
+def load_example(name: str) -> Example:
+    """Read an example deployment."""
+    raw = tomllib.loads((ROOT / "examples" / name / "deployment.toml").read_text(encoding="utf-8"))
+    return msgspec.convert(raw, Example)
+
+
+def free_addresses(count: int) -> list[str]:
+    """Return loopback addresses whose TCP ports were free a moment ago."""
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for item in sockets:
+            item.bind((HOST, 0))
+        return [f"{HOST}:{item.getsockname()[1]}" for item in sockets]
+    finally:
+        for item in sockets:
+            item.close()
+
+
+@dataclass(slots=True)
+class Deployment:
+    """The processes of one example.
+
+    Attributes:
+        nodes: HTTP addresses of the nodes, by zone.
+        processes: every process started, by name.
+    """
+
+    example: Example
+    name: str
+    directory: Path
+    log: str
+    platform: str
+    nodes: list[str]
+    peers: list[str]
+    engines: list[str]
+    applications: list[str]
+    processes: dict[str, subprocess.Popen[bytes]] = field(default_factory=dict)
+
+    @classmethod
+    def plan(cls, name: str, directory: Path) -> "Deployment":
+        """Choose addresses; nothing is started yet."""
+        example = load_example(name)
+        num_zones = len(example.zones)
+        total = 2 + 2 * num_zones + example.num_engines + example.num_application_workers
+        addresses = free_addresses(total)
+        log, platform, *rest = addresses
+        nodes, rest = rest[:num_zones], rest[num_zones:]
+        peers, rest = rest[:num_zones], rest[num_zones:]
+        engines, applications = rest[: example.num_engines], rest[example.num_engines :]
+        directory.mkdir(parents=True, exist_ok=True)
+        return cls(example, name, directory, log, platform, nodes, peers, engines, applications)
+
+    def start_platform(self) -> None:
+        """Start log, platform services, engines and application workers."""
+        machines_file = self.directory / "machines.json"
+        machines_file.write_bytes(msgspec.json.encode(self.machines()))
+        self._emulator("log", "log", listen=self.log)
+        self._emulator("platform", "platform", listen=self.platform, machines=str(machines_file))
+        table = self.example.engine
+        for index, address in enumerate(self.engines):
+            self._emulator(
+                f"engine-{index}",
+                "engine",
+                listen=address,
+                engine_id=f"engine-{index}",
+                max_num_seqs=table.max_num_seqs,
+                step_base_seconds=table.step_base_seconds,
+                step_per_sequence_seconds=table.step_per_sequence_seconds,
+                load_seconds=table.load_seconds,
+            )
+        for index, address in enumerate(self.applications):
+            self._emulator(
+                f"application-{index}", "application", listen=address, worker_id=f"application-{index}"
+            )
+
+    def start_node(self, index: int) -> None:
+        """Start the node of one zone."""
+        file = self.directory / f"node-{index}.toml"
+        file.write_text(self._settings(index), encoding="utf-8")
+        self._start(f"node-{index}", [str(BIN / "worksramp"), "node", "--settings", str(file)])
+
+    def start_trainer(self, job: str, num_steps: int, train_seconds: float) -> Path:
+        """Start a trainer and return the file that it will write its record to."""
+        record_file = self.directory / f"trainer-{job}.json"
+        self._emulator(
+            f"trainer-{job}",
+            "trainer",
+            nodes=" ".join(self.nodes),
+            key=API_KEYS["trainer"],
+            job=job,
+            store=self.platform,
+            model=self.example.model,
+            num_steps=num_steps,
+            train_seconds=train_seconds,
+            record_file=str(record_file),
+        )
+        return record_file
+
+    def machines(self) -> tuple[Machine, ...]:
+        """Return the machine list."""
+        zones = self.example.zones
+        nodes = [
+            Machine(f"node-{index}", MachineRole.NODE, address, zones[index])
+            for index, address in enumerate(self.peers)
+        ]
+        fleet = group_name(self.example.tenant, self.example.fleet)
+        engines = [
+            Machine(f"engine-{index}", MachineRole.ENGINE, address, zones[index % len(zones)], fleet)
+            for index, address in enumerate(self.engines)
+        ]
+        group = group_name(self.example.tenant, self.example.application)
+        applications = [
+            Machine(
+                f"application-{index}", MachineRole.APPLICATION, address, zones[index % len(zones)], group
+            )
+            for index, address in enumerate(self.applications)
+        ]
+        return (*nodes, *engines, *applications)
+
+    async def wait_ready(self, index: int) -> None:
+        """Return once a node says that it is ready.
+
+        Raises:
+            TimeoutError: it did not in time.
+        """
+        async with httpx.AsyncClient(trust_env=False) as client:
+            with anyio.fail_after(READY_TIMEOUT_SECONDS):
+                while True:
+                    try:
+                        response = await client.get(f"http://{self.nodes[index]}/ready")
+                        if response.status_code == OK:
+                            return
+                    except httpx.HTTPError:
+                        pass
+                    await anyio.sleep(0.05)
+
+    async def configure(self) -> None:
+        """Store the prompt sets and publish the example's configuration."""
+        headers = {"authorization": f"Bearer {API_KEYS['operator']}"}
+        folder = ROOT / "examples" / self.name
+        text = (folder / self.example.configuration).read_text(encoding="utf-8")
+        base = f"http://{self.nodes[0]}"
+        async with httpx.AsyncClient(headers=headers, timeout=30.0, trust_env=False) as client:
+            for label, file in self.example.prompt_files.items():
+                prompts = (folder / file).read_text(encoding="utf-8").splitlines()
+                response = await client.post(f"{base}/v1/prompts", json={"prompts": prompts})
+                response.raise_for_status()
+                text = text.replace(f"{{{label}}}", response.json()["prompt_set"])
+            text = text.replace("{scorer}", self.platform)
+            change = {"change_id": "first", "expected_revision": 0, "document": tomllib.loads(text)}
+            response = await client.put(f"{base}/v1/configuration", json=change)
+            response.raise_for_status()
+
+    def memory_mib(self, name: str) -> float:
+        """Return the resident memory of a process."""
+        status = Path(f"/proc/{self.processes[name].pid}/status").read_text(encoding="utf-8")
+        kib = next(line.split()[1] for line in status.splitlines() if line.startswith("VmRSS"))
+        return int(kib) / 1024
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to one process."""
+        os.kill(self.processes[name].pid, number)
+
+    def stop(self) -> dict[str, int]:
+        """Stop the nodes in order, then everything else, by process id; return the nodes' exit codes."""
+        node_names = [name for name in self.processes if name.startswith("node-")]
+        codes: dict[str, int] = {}
+        for name in node_names:
+            if self.processes[name].poll() is None:
+                self.processes[name].terminate()
+        for name in node_names:
+            try:
+                codes[name] = self.processes[name].wait(STOP_TIMEOUT_SECONDS)
+            except subprocess.TimeoutExpired:
+                self.processes[name].kill()
+                codes[name] = self.processes[name].wait()
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.kill()
+            process.wait()
+        return codes
+
+    def _emulator(self, name: str, command: str, **flags: object) -> None:
+        arguments = [f"--{flag}={value}" for flag, value in flags.items()]
+        self._start(name, [str(BIN / "worksramp-emulator"), command, *arguments])
+
+    def _start(self, name: str, command: list[str]) -> None:
+        with (self.directory / f"{name}.log").open("wb") as output:
+            self.processes[name] = subprocess.Popen(
+                command, stdin=subprocess.DEVNULL, stdout=output, stderr=output
+            )
+
+    def _settings(self, index: int) -> str:
+        lines = [
+            f'node_id = "node-{index}"',
+            f'zone = "{self.example.zones[index]}"',
+            f'listen = "{self.nodes[index]}"',
+            f'peer_listen = "{self.peers[index]}"',
+            "[platform]",
+            f'log = "{self.log}"',
+            f'weight_store = "{self.platform}"',
+            f'machine_list = "{self.platform}"',
+        ]
+        for role, key in API_KEYS.items():
+            digest = hashlib.sha256(key.encode()).hexdigest()
+            lines += ["[[keys]]", f'tenant = "{self.example.tenant}"', f'role = "{role}"']
+            lines += [f'sha256 = "{digest}"']
+        return "\n".join(lines) + "\n"
--- /dev/null
+++ b/src/worksramp/__init__.py
@@ -0,0 +1,1 @@
+"""worksramp: a rollout service for reinforcement learning beside live traffic."""
--- /dev/null
+++ b/src/worksramp/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Coordination parts that can be embedded without the daemon."""
--- /dev/null
+++ b/src/worksramp/coordination/membership.py
@@ -0,0 +1,417 @@
+"""SWIM-style membership among nodes: a pure decider of constant cost per node.
+
+Each period a node probes one member; if no acknowledgement comes it asks a few others to probe, then
+suspects, then declares dead. Every message carries a few recent updates. A member refutes a suspicion
+by raising its incarnation.
+
+Source: Das, Gupta, Motivala, "SWIM: Scalable Weakly-consistent Infection-style Process Group Membership
+Protocol", 2002, with the suspicion and incarnation rules of its section 4.2.
+
+See Also:
+    docs/design/membership.md
+"""
+
+import math
+import random
+from dataclasses import dataclass
+from enum import IntEnum
+
+import msgspec
+
+PROBE_PERIOD_SECONDS = 1.0
+PROBE_TIMEOUT_SECONDS = 0.3
+SUSPICION_SECONDS = 2.0
+DEAD_RETENTION_SECONDS = 60.0
+NUM_INDIRECT_PROBES = 3
+MAX_UPDATES_PER_MESSAGE = 6
+RETRANSMIT_FACTOR = 3
+
+
+class MemberStatus(IntEnum):
+    """In rising order of precedence at equal incarnation."""
+
+    ALIVE = 0
+    SUSPECT = 1
+    LEAVING = 2
+    DEAD = 3
+
+
+class Member(msgspec.Struct, frozen=True, array_like=True):
+    """What is believed of one node.
+
+    Attributes:
+        instance_id: id of the process; a restarted one has another. A member declared dead while it was
+            paused returns under a higher incarnation.
+        roles: names of the roles it runs.
+    """
+
+    instance_id: str
+    address: str
+    zone: str
+    roles: tuple[str, ...]
+    status: MemberStatus = MemberStatus.ALIVE
+    incarnation: int = 0
+    max_schema_version: int = 1
+
+
+class Probe(msgspec.Struct, frozen=True, array_like=True, tag=1):
+    """Are you there? ``on_behalf_of`` is set when another member asked for it."""
+
+    sequence: int
+    sender: str
+    configuration_offset: int
+    updates: tuple[Member, ...] = ()
+    on_behalf_of: str = ""
+
+
+class Acknowledgement(msgspec.Struct, frozen=True, array_like=True, tag=2):
+    """I am here; ``subject`` is the member that is."""
+
+    sequence: int
+    sender: str
+    subject: str
+    configuration_offset: int
+    updates: tuple[Member, ...] = ()
+
+
+class IndirectProbe(msgspec.Struct, frozen=True, array_like=True, tag=3):
+    """Please probe ``target_address`` for me."""
+
+    sequence: int
+    sender: str
+    target_address: str
+    updates: tuple[Member, ...] = ()
+
+
+class Join(msgspec.Struct, frozen=True, array_like=True, tag=4):
+    """A new member asks a seed for its whole table."""
+
+    sender: Member
+
+
+class Table(msgspec.Struct, frozen=True, array_like=True, tag=5):
+    """Answer to a join, in parts small enough for a datagram."""
+
+    members: tuple[Member, ...]
+    configuration_offset: int
+
+
+MembershipMessage = Probe | Acknowledgement | IndirectProbe | Join | Table
+MAX_TABLE_MEMBERS_PER_MESSAGE = 12
+
+
+@dataclass(frozen=True, slots=True)
+class Send:
+    """Instruction: send a message to an address, best effort."""
+
+    address: str
+    message: MembershipMessage
+
+
+@dataclass(frozen=True, slots=True)
+class PullConfiguration:
+    """Instruction: that peer holds configuration records that this node lacks."""
+
+    address: str
+    offset: int
+
+
+@dataclass(frozen=True, slots=True)
+class StatusChanged:
+    """Instruction: tell the node that its belief about a member changed."""
+
+    member: Member
+
+
+Instruction = Send | PullConfiguration | StatusChanged
+
+
+@dataclass(slots=True)
+class _Outstanding:
+    """The probe of the current period."""
+
+    target: str
+    sequence: int
+    sent_at: float
+    is_indirect_sent: bool = False
+
+
+class Membership:
+    """One node's membership state machine.
+
+    Args:
+        self_member: this node.
+        seed: seed of the probe order and of helper choice.
+    """
+
+    def __init__(self, self_member: Member, seed: int) -> None:
+        self.self_member = self_member
+        self.configuration_offset = 0
+        self._members: dict[str, Member] = {self_member.instance_id: self_member}
+        self._suspect_since: dict[str, float] = {}
+        self._dead_since: dict[str, float] = {}
+        self._transmits_left: dict[str, int] = {}
+        self._probe_order: list[str] = []
+        self._outstanding: _Outstanding | None = None
+        self._relayed: dict[int, tuple[str, int]] = {}
+        self._sequence = 0
+        self._next_probe_at = 0.0
+        self._random = random.Random(seed)
+
+    def members(self) -> tuple[Member, ...]:
+        """Return everyone known, dead ones included while they are remembered."""
+        return tuple(self._members.values())
+
+    def live_members(self) -> tuple[Member, ...]:
+        """Return all that are not dead, this node included."""
+        return tuple(member for member in self._members.values() if member.status is not MemberStatus.DEAD)
+
+    def eligible(self, role: str) -> frozenset[str]:
+        """Return instance ids that may own shards of a role: alive or merely suspected, not leaving."""
+        return frozenset(
+            member.instance_id
+            for member in self._members.values()
+            if role in member.roles and member.status in (MemberStatus.ALIVE, MemberStatus.SUSPECT)
+        )
+
+    def member(self, instance_id: str) -> Member | None:
+        """Return what is believed of one member."""
+        return self._members.get(instance_id)
+
+    def join(self, seed_addresses: tuple[str, ...]) -> list[Instruction]:
+        """Ask seeds for their tables; addresses already known are asked again without harm."""
+        others = [address for address in seed_addresses if address != self.self_member.address]
+        chosen = self._random.sample(others, min(NUM_INDIRECT_PROBES, len(others)))
+        return [Send(address, Join(self.self_member)) for address in chosen]
+
+    def leave(self) -> list[Instruction]:
+        """Announce that this node is leaving, to a few members at once and by gossip to the rest."""
+        status = MemberStatus.LEAVING
+        self.self_member = msgspec.structs.replace(
+            self.self_member, status=status, incarnation=self.self_member.incarnation + 1
+        )
+        self._put(self.self_member)
+        return [self._probe(member.address) for member in self._sample_peers(NUM_INDIRECT_PROBES)]
+
+    def tick(self, now: float) -> list[Instruction]:
+        """Advance timers; call at least every `PROBE_TIMEOUT_SECONDS`."""
+        instructions = self._expire(now)
+        instructions += self._check_outstanding(now)
+        if now >= self._next_probe_at:
+            self._next_probe_at = now + PROBE_PERIOD_SECONDS
+            instructions += self._start_probe(now)
+        return instructions
+
+    def receive(self, message: MembershipMessage, now: float) -> list[Instruction]:
+        """Handle one message."""
+        match message:
+            case Probe():
+                return self._on_probe(message, now)
+            case Acknowledgement():
+                return self._on_acknowledgement(message, now)
+            case IndirectProbe():
+                return self._on_indirect_probe(message, now)
+            case Join():
+                return self._on_join(message, now)
+            case Table():
+                instructions = self._merge(message.members, now)
+                return instructions + self._compare_offset(message.configuration_offset, "")
+
+    def _on_probe(self, probe: Probe, now: float) -> list[Instruction]:
+        instructions = self._merge(probe.updates, now)
+        sender = self._members.get(probe.sender)
+        if sender is None:
+            return instructions
+        reply = Acknowledgement(
+            sequence=probe.sequence,
+            sender=self.self_member.instance_id,
+            subject=self.self_member.instance_id,
+            configuration_offset=self.configuration_offset,
+            updates=self._pick_updates(sender),
+        )
+        instructions.append(Send(sender.address, reply))
+        return instructions + self._compare_offset(probe.configuration_offset, sender.address)
+
+    def _on_acknowledgement(self, ack: Acknowledgement, now: float) -> list[Instruction]:
+        instructions = self._merge(ack.updates, now)
+        relay = self._relayed.pop(ack.sequence, None)
+        if relay is not None:
+            asker = self._members.get(relay[0])
+            if asker is not None:
+                forwarded = msgspec.structs.replace(ack, sequence=relay[1], updates=())
+                instructions.append(Send(asker.address, forwarded))
+        if self._outstanding is not None and self._outstanding.sequence == ack.sequence:
+            self._outstanding = None
+        subject = self._members.get(ack.subject)
+        if subject is None:
+            return instructions
+        if subject.status is MemberStatus.LEAVING:
+            self._suspect_since.pop(subject.instance_id, None)
+        return instructions + self._compare_offset(ack.configuration_offset, subject.address)
+
+    def _on_indirect_probe(self, request: IndirectProbe, now: float) -> list[Instruction]:
+        instructions = self._merge(request.updates, now)
+        send = self._probe(request.target_address)
+        assert isinstance(send.message, Probe)
+        self._relayed[send.message.sequence] = (request.sender, request.sequence)
+        return [*instructions, send]
+
+    def _on_join(self, join: Join, now: float) -> list[Instruction]:
+        instructions = self._merge((join.sender,), now)
+        members = self.live_members()
+        size = MAX_TABLE_MEMBERS_PER_MESSAGE
+        parts = [members[start : start + size] for start in range(0, len(members), size)]
+        replies = [Send(join.sender.address, Table(part, self.configuration_offset)) for part in parts]
+        return instructions + list(replies)
+
+    def _compare_offset(self, offset: int, address: str) -> list[Instruction]:
+        if offset <= self.configuration_offset or not address:
+            return []
+        return [PullConfiguration(address, offset)]
+
+    def _merge(self, updates: tuple[Member, ...], now: float) -> list[Instruction]:
+        instructions: list[Instruction] = []
+        for update in updates:
+            if update.instance_id == self.self_member.instance_id:
+                self._refute(update)
+                continue
+            instructions += self._merge_one(update, now)
+        return instructions
+
+    def _merge_one(self, update: Member, now: float) -> list[Instruction]:
+        known = self._members.get(update.instance_id)
+        if known is None and update.status is MemberStatus.DEAD:
+            return []
+        if known is not None and not _overrides(update, known):
+            return []
+        self._put(update)
+        self._note_status(update, now)
+        is_news = known is None or known.status is not update.status
+        return [StatusChanged(update)] if is_news else []
+
+    def _note_status(self, member: Member, now: float) -> None:
+        self._suspect_since.pop(member.instance_id, None)
+        self._dead_since.pop(member.instance_id, None)
+        if member.status is MemberStatus.SUSPECT:
+            self._suspect_since[member.instance_id] = now
+        if member.status is MemberStatus.DEAD:
+            self._dead_since[member.instance_id] = now
+
+    def _refute(self, claim: Member) -> None:
+        """Answer a suspicion of this node with a higher incarnation."""
+        if claim.status in (MemberStatus.ALIVE, MemberStatus.LEAVING):
+            return
+        if claim.incarnation < self.self_member.incarnation:
+            return
+        self.self_member = msgspec.structs.replace(self.self_member, incarnation=claim.incarnation + 1)
+        self._put(self.self_member)
+
+    def _put(self, member: Member) -> None:
+        self._members[member.instance_id] = member
+        num_members = len(self._members)
+        self._transmits_left[member.instance_id] = RETRANSMIT_FACTOR * math.ceil(math.log2(num_members + 1))
+
+    def _pick_updates(self, receiver: Member | None = None) -> tuple[Member, ...]:
+        """Choose the least-sent updates; a member thought not alive is told so, to let it refute."""
+        by_need = sorted(self._transmits_left, key=lambda key: -self._transmits_left[key])
+        chosen = by_need[:MAX_UPDATES_PER_MESSAGE]
+        for instance_id in chosen:
+            self._transmits_left[instance_id] -= 1
+            if self._transmits_left[instance_id] <= 0:
+                del self._transmits_left[instance_id]
+        if receiver is not None and receiver.status is not MemberStatus.ALIVE:
+            chosen = [receiver.instance_id, *chosen]
+        return tuple(self._members[key] for key in dict.fromkeys(chosen) if key in self._members)
+
+    def _probe(self, address: str, receiver: Member | None = None) -> Send:
+        self._sequence += 1
+        probe = Probe(
+            sequence=self._sequence,
+            sender=self.self_member.instance_id,
+            configuration_offset=self.configuration_offset,
+            updates=self._pick_updates(receiver),
+        )
+        return Send(address, probe)
+
+    def _start_probe(self, now: float) -> list[Instruction]:
+        target = self._next_target()
+        if target is None:
+            return []
+        send = self._probe(target.address, target)
+        self._outstanding = _Outstanding(target.instance_id, self._sequence, now)
+        return [send]
+
+    def _next_target(self) -> Member | None:
+        """Walk all members in a random order, renewed each round, so that each is probed in bounded time."""
+        while True:
+            if not self._probe_order:
+                self._probe_order = [member.instance_id for member in self._peers()]
+                self._random.shuffle(self._probe_order)
+            if not self._probe_order:
+                return None
+            member = self._members.get(self._probe_order.pop())
+            if member is not None and member.status is not MemberStatus.DEAD:
+                return member
+
+    def _check_outstanding(self, now: float) -> list[Instruction]:
+        waiting = self._outstanding
+        if waiting is None:
+            return []
+        waited = now - waiting.sent_at
+        target = self._members.get(waiting.target)
+        if target is None:
+            self._outstanding = None
+            return []
+        if waited >= PROBE_PERIOD_SECONDS - PROBE_TIMEOUT_SECONDS / 2:
+            self._outstanding = None
+            return self._suspect(target, now)
+        if waited >= PROBE_TIMEOUT_SECONDS and not waiting.is_indirect_sent:
+            waiting.is_indirect_sent = True
+            return self._ask_helpers(target, waiting.sequence)
+        return []
+
+    def _ask_helpers(self, target: Member, sequence: int) -> list[Instruction]:
+        helpers = [
+            member
+            for member in self._sample_peers(NUM_INDIRECT_PROBES + 1)
+            if member.instance_id != target.instance_id
+        ]
+        request = IndirectProbe(sequence, self.self_member.instance_id, target.address)
+        return [Send(helper.address, request) for helper in helpers[:NUM_INDIRECT_PROBES]]
+
+    def _suspect(self, target: Member, now: float) -> list[Instruction]:
+        if target.status is MemberStatus.LEAVING:
+            # Leaving must not turn into merely suspect, or the member would count as eligible again.
+            self._suspect_since.setdefault(target.instance_id, now)
+            return []
+        if target.status is not MemberStatus.ALIVE:
+            return []
+        return self._merge_one(msgspec.structs.replace(target, status=MemberStatus.SUSPECT), now)
+
+    def _expire(self, now: float) -> list[Instruction]:
+        instructions: list[Instruction] = []
+        for instance_id, since in list(self._suspect_since.items()):
+            if now - since >= SUSPICION_SECONDS:
+                dead = msgspec.structs.replace(self._members[instance_id], status=MemberStatus.DEAD)
+                instructions += self._merge_one(dead, now)
+        for instance_id, since in list(self._dead_since.items()):
+            if now - since >= DEAD_RETENTION_SECONDS:
+                del self._dead_since[instance_id]
+                self._members.pop(instance_id, None)
+                self._transmits_left.pop(instance_id, None)
+        return instructions
+
+    def _peers(self) -> list[Member]:
+        own = self.self_member.instance_id
+        return [member for member in self.live_members() if member.instance_id != own]
+
+    def _sample_peers(self, count: int) -> list[Member]:
+        peers = self._peers()
+        return self._random.sample(peers, min(count, len(peers)))
+
+
+def _overrides(update: Member, known: Member) -> bool:
+    """Return whether news about a member beats what is known: the higher incarnation, then the graver."""
+    if update.incarnation != known.incarnation:
+        return update.incarnation > known.incarnation
+    return update.status > known.status
--- /dev/null
+++ b/src/worksramp/coordination/placement.py
@@ -0,0 +1,74 @@
+"""Which node should own a shard: rendezvous hashing, and when to claim or hand over.
+
+Placement only decides who tries; the log decides who owns.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from enum import Enum, auto
+
+import xxhash
+
+from worksramp.coordination.fold import Ownership
+
+HANDOVER_HOLD_SECONDS = 5.0
+
+
+def rendezvous_order(key: str, members: Iterable[str]) -> list[str]:
+    """Return the members, best first, by highest random weight for this key.
+
+    Source: Thaler and Ravishankar, "Using name-based mappings to increase hit rates", 1998.
+    """
+    return sorted(members, key=lambda member: (-xxhash.xxh64_intdigest(f"{member}|{key}".encode()), member))
+
+
+class PlacementAction(Enum):
+    """What a node should do about one shard."""
+
+    IGNORE = auto()
+    FOLLOW = auto()
+    CLAIM = auto()
+    SERVE = auto()
+    RELEASE = auto()
+
+
+@dataclass(frozen=True, slots=True)
+class PlacementView:
+    """What one node knows when it decides about one shard.
+
+    Attributes:
+        instance_id: this process.
+        eligible: instance ids of coordinators believed alive and not leaving, this one included unless
+            it is leaving.
+        ownership: as folded from the shard's stream; None while the stream is not followed or not
+            caught up.
+        not_preferred_seconds: how long another node has been preferred for the shard.
+    """
+
+    shard: str
+    instance_id: str
+    eligible: frozenset[str]
+    ownership: Ownership | None
+    not_preferred_seconds: float = 0.0
+
+
+def decide_placement(view: PlacementView) -> PlacementAction:
+    """Decide what to do about a shard.
+
+    The preferred node claims when the owner has released, or is not believed alive. A living owner
+    that is no longer preferred hands over after a hold time, so that a flapping member moves nothing.
+    """
+    order = rendezvous_order(view.shard, view.eligible)
+    is_preferred = bool(order) and order[0] == view.instance_id
+    ownership = view.ownership
+    if ownership is None:
+        return PlacementAction.FOLLOW if is_preferred else PlacementAction.IGNORE
+    if ownership.is_held_by(view.instance_id):
+        should_hand_over = (
+            not is_preferred and bool(order) and view.not_preferred_seconds >= HANDOVER_HOLD_SECONDS
+        )
+        return PlacementAction.RELEASE if should_hand_over else PlacementAction.SERVE
+    if not is_preferred:
+        return PlacementAction.IGNORE
+    is_owner_alive = not ownership.is_released and ownership.owner in view.eligible
+    return PlacementAction.FOLLOW if is_owner_alive else PlacementAction.CLAIM
--- /dev/null
+++ b/src/worksramp/coordination/replication.py
@@ -0,0 +1,84 @@
+"""When a configuration record may come into force: only after enough nodes hold it.
+
+A node that serves a revision and then loses its memory must not come back with an older one while the
+log is down. So a record is applied once `NUM_COPIES` live nodes hold it (all of them, if fewer live),
+and a starting node that cannot read the log waits until it has heard from all live nodes but
+``NUM_COPIES - 1``: then at least one holder of every applied record is among them.
+
+See Also:
+    docs/design/configuration.md, "Starting while the log is down"
+"""
+
+NUM_COPIES = 3
+
+
+def num_copies_needed(num_live: int) -> int:
+    """Return how many nodes, this one included, must hold a record before it comes into force."""
+    return max(1, min(NUM_COPIES, num_live))
+
+
+def num_answers_needed(num_live_others: int) -> int:
+    """Return how many other ready nodes a starting node must hear from while the log is down."""
+    return max(1, num_live_others - (NUM_COPIES - 1))
+
+
+class StagedRecords:
+    """Configuration records held but perhaps not in force yet, and who is known to hold them.
+
+    Args:
+        next_offset: first offset that is not held.
+        max_kept: how many records in force are kept for peers that lag behind.
+    """
+
+    def __init__(self, next_offset: int, max_kept: int) -> None:
+        self._max_kept = max_kept
+        self._start = next_offset
+        self._records: list[bytes] = []
+        self._held_by: dict[str, int] = {}
+
+    @property
+    def start(self) -> int:
+        """Offset of the oldest record kept."""
+        return self._start
+
+    @property
+    def next_offset(self) -> int:
+        """First offset that is not held."""
+        return self._start + len(self._records)
+
+    def reset(self, next_offset: int) -> None:
+        """Begin again after a snapshot was taken in."""
+        self._start = next_offset
+        self._records = []
+
+    def add(self, start: int, records: tuple[bytes, ...]) -> bool:
+        """Add what is new of consecutive records; return whether anything was, False also for a gap."""
+        if start > self.next_offset:
+            return False
+        fresh = records[self.next_offset - start :]
+        self._records.extend(fresh)
+        return bool(fresh)
+
+    def since(self, offset: int) -> tuple[bytes, ...]:
+        """Return the records from ``offset`` on; it must not lie before `start`."""
+        return tuple(self._records[max(0, offset - self._start) :])
+
+    def note_held(self, instance_id: str, next_offset: int) -> None:
+        """Note that another node holds everything below ``next_offset``."""
+        if next_offset > self._held_by.get(instance_id, -1):
+            self._held_by[instance_id] = next_offset
+
+    def num_holders(self, offset: int, live: frozenset[str]) -> int:
+        """Return how many live nodes are known to hold the record, this one included."""
+        return 1 + sum(1 for key, held in self._held_by.items() if held > offset and key in live)
+
+    def forget_dead(self, live: frozenset[str]) -> None:
+        """Drop what is known of nodes that are no longer live."""
+        self._held_by = {key: held for key, held in self._held_by.items() if key in live}
+
+    def trim(self, applied_offset: int) -> None:
+        """Drop the oldest records in force beyond ``max_kept``."""
+        num_droppable = min(applied_offset - self._start, len(self._records) - self._max_kept)
+        if num_droppable > 0:
+            del self._records[:num_droppable]
+            self._start += num_droppable
--- /dev/null
+++ b/src/worksramp/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP applications for callers, trainers and operators."""
--- /dev/null
+++ b/src/worksramp/gateway/app.py
@@ -0,0 +1,20 @@
+"""The HTTP application of one node."""
+
+import anyio.abc
+from starlette.applications import Starlette
+from starlette.routing import BaseRoute
+
+from worksramp.gateway.backend import GatewayBackend
+from worksramp.gateway.callers import CallersApi
+from worksramp.gateway.operators import OperatorsApi
+from worksramp.gateway.trainers import TrainersApi
+from worksramp.settings import Role
+
+
+def make_application(backend: GatewayBackend, background: anyio.abc.TaskGroup) -> Starlette:
+    """Return the application; a node without the gateway role serves operators only."""
+    routes: list[BaseRoute] = [*OperatorsApi(backend, background).routes()]
+    if Role.GATEWAY in backend.settings.roles:
+        routes += CallersApi(backend).routes()
+        routes += TrainersApi(backend).routes()
+    return Starlette(routes=routes)
--- /dev/null
+++ b/src/worksramp/gateway/http.py
@@ -0,0 +1,200 @@
+"""Shared parts of the HTTP applications: keys, bodies, typed error answers."""
+
+import hashlib
+import hmac
+import math
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
+
+import msgspec
+from starlette.requests import Request
+from starlette.responses import Response
+
+from worksramp.gateway.backend import GatewayBackend
+from worksramp.outcomes import InterruptedStepError, NotStartedError, StepError
+from worksramp.settings import ApiKey, KeyRole
+
+MAX_BODY_BYTES = 4 * 1024 * 1024
+MAX_DEADLINE_SECONDS = 600.0
+DEADLINE_HEADER = "x-deadline-seconds"
+BEARER_PREFIX = "Bearer "
+DEFAULT_RETRY_AFTER_SECONDS = 1.0
+
+BAD_REQUEST = 400
+UNAUTHORIZED = 401
+FORBIDDEN = 403
+NOT_FOUND = 404
+CONFLICT = 409
+TOO_LARGE = 413
+UNPROCESSABLE = 422
+BAD_GATEWAY = 502
+UNAVAILABLE = 503
+
+StructT = TypeVar("StructT", bound=msgspec.Struct)
+Handler = Callable[[Request], Awaitable[Response]]
+
+
+class ErrorBody(msgspec.Struct, omit_defaults=True):
+    """Body of every error answer.
+
+    Attributes:
+        outcome: ``invalid``, ``denied``, ``not_found``, ``not_run``, ``unknown``, ``conflict`` or
+            ``not_ready``.
+        field: the field at fault, for ``invalid``.
+    """
+
+    outcome: str
+    reason: str
+    field: str = ""
+    step: str = ""
+    peer: str = ""
+    retry_after_seconds: float = 0.0
+
+
+class RequestError(Exception):
+    """A request that gets an error answer.
+
+    Attributes:
+        status: HTTP status.
+        body: typed body.
+    """
+
+    def __init__(self, status: int, body: ErrorBody) -> None:
+        super().__init__(body.reason)
+        self.status = status
+        self.body = body
+
+
+def invalid(field: str, reason: str, status: int = BAD_REQUEST) -> RequestError:
+    """Return the error for a field that cannot be used."""
+    return RequestError(status, ErrorBody("invalid", reason, field=field))
+
+
+def json_response(content: object, status: int = 200, retry_after_seconds: float = 0.0) -> Response:
+    """Return a JSON answer; ``Retry-After`` is in whole seconds, rounded up."""
+    headers = {"retry-after": str(math.ceil(retry_after_seconds))} if retry_after_seconds > 0 else {}
+    return Response(msgspec.json.encode(content), status, headers, "application/json")
+
+
+def step_error_body(error: StepError) -> tuple[int, ErrorBody]:
+    """Return status and body for a failed step."""
+    if isinstance(error, NotStartedError):
+        seconds = error.retry_after_seconds or DEFAULT_RETRY_AFTER_SECONDS
+        body = ErrorBody("not_run", error.reason, "", error.step, error.peer, seconds)
+        return UNAVAILABLE, body
+    body = ErrorBody("unknown", error.reason, "", error.step, error.peer)
+    return BAD_GATEWAY, body
+
+
+def answering(handler: Handler) -> Handler:
+    """Turn typed errors of a handler into typed answers."""
+
+    async def answer(request: Request) -> Response:
+        try:
+            return await handler(request)
+        except RequestError as error:
+            return json_response(error.body, error.status, error.body.retry_after_seconds)
+        except (NotStartedError, InterruptedStepError, StepError) as error:
+            status, body = step_error_body(error)
+            return json_response(body, status, body.retry_after_seconds)
+
+    return answer
+
+
+def authorize(backend: GatewayBackend, request: Request, *roles: KeyRole) -> ApiKey:
+    """Return the key that a request carries.
+
+    Raises:
+        RequestError: no key, an unknown one, or one whose role may not do this.
+    """
+    header = request.headers.get("authorization", "")
+    if not header.startswith(BEARER_PREFIX):
+        raise RequestError(UNAUTHORIZED, ErrorBody("denied", "a bearer key is needed", "authorization"))
+    digest = hashlib.sha256(header[len(BEARER_PREFIX) :].encode()).hexdigest()
+    matches = [key for key in backend.settings.keys if hmac.compare_digest(key.sha256, digest)]
+    if not matches:
+        raise RequestError(UNAUTHORIZED, ErrorBody("denied", "the key is not known", "authorization"))
+    allowed = [key for key in matches if key.role in roles]
+    if not allowed:
+        names = " or ".join(role.value for role in roles)
+        raise RequestError(
+            FORBIDDEN, ErrorBody("denied", f"a key of role {names} is needed", "authorization")
+        )
+    return allowed[0]
+
+
+def require_ready(backend: GatewayBackend) -> None:
+    """Refuse at once while the node is starting or leaving.
+
+    Raises:
+        RequestError: nothing was run.
+    """
+    if not backend.is_ready:
+        raise RequestError(
+            UNAVAILABLE,
+            ErrorBody(
+                "not_run",
+                "the node is starting or leaving",
+                step="gateway.ready",
+                peer=backend.settings.node_id,
+                retry_after_seconds=DEFAULT_RETRY_AFTER_SECONDS,
+            ),
+        )
+
+
+async def read_body(request: Request) -> bytes:
+    """Return the body.
+
+    Raises:
+        RequestError: it is larger than `MAX_BODY_BYTES`.
+    """
+    parts: list[bytes] = []
+    num_bytes = 0
+    async for part in request.stream():
+        num_bytes += len(part)
+        if num_bytes > MAX_BODY_BYTES:
+            raise invalid("(body)", f"larger than {MAX_BODY_BYTES} bytes", TOO_LARGE)
+        parts.append(part)
+    return b"".join(parts)
+
+
+async def read_struct(request: Request, struct_type: type[StructT]) -> StructT:
+    """Decode a JSON body.
+
+    Raises:
+        RequestError: it is not JSON, or a field is missing, unknown or of the wrong type.
+    """
+    try:
+        return msgspec.json.decode(await read_body(request), type=struct_type)
+    except msgspec.DecodeError as error:
+        reason, _, path = str(error).partition(" - at `$")
+        raise invalid(path.strip(".`") or "(body)", reason) from error
+
+
+def read_deadline(backend: GatewayBackend, request: Request) -> float:
+    """Return the request's deadline in seconds from now.
+
+    Raises:
+        RequestError: the header is not a number in range.
+    """
+    raw = request.headers.get(DEADLINE_HEADER)
+    if raw is None:
+        return backend.settings.default_deadline_seconds
+    try:
+        seconds = float(raw)
+    except ValueError:
+        raise invalid(DEADLINE_HEADER, f"{raw!r} is not a number of seconds") from None
+    if not 0.0 < seconds <= MAX_DEADLINE_SECONDS:
+        raise invalid(DEADLINE_HEADER, f"must be above 0 and at most {MAX_DEADLINE_SECONDS:.0f} seconds")
+    return seconds
+
+
+def read_int(raw: str | None, field: str) -> int:
+    """Return a whole number that is not negative.
+
+    Raises:
+        RequestError: it is not one.
+    """
+    if raw is None or not raw.isdigit():
+        raise invalid(field, f"{raw!r} is not a whole number")
+    return int(raw)
--- /dev/null
+++ b/src/worksramp/gateway/live.py
@@ -0,0 +1,183 @@
+"""Live traffic of one gateway: admission, deadlines, retries, completions and application calls."""
+
+from collections.abc import AsyncGenerator, Callable, Iterator
+from contextlib import aclosing, contextmanager
+
+import anyio
+
+from worksramp.outcomes import InterruptedStepError, NotStartedError, StepError
+from worksramp.platform.base import (
+    ApplicationReply,
+    ApplicationRequest,
+    GenerateRequest,
+    GenerationChunk,
+    MachineRole,
+    Platform,
+)
+from worksramp.routing.choice import RouteRequest
+from worksramp.routing.generation import GenerationPolicy, generate_resumable
+from worksramp.routing.limits import ConcurrencyLimit, Rejected, RetryBudget
+from worksramp.routing.pool import WorkerPool
+
+PoolFunction = Callable[[MachineRole, str], WorkerPool | None]
+MAX_APPLICATION_TRIES = 3
+DEFAULT_RETRY_AFTER_SECONDS = 1.0
+
+
+class LiveTraffic:
+    """What a gateway does for callers.
+
+    Args:
+        pool: finds the workers of a fleet or application.
+        max_concurrency: ceiling of a tenant's adaptive limit, from the configuration in force.
+    """
+
+    def __init__(self, platform: Platform, pool: PoolFunction, max_concurrency: Callable[[str], int]) -> None:
+        self.num_in_flight = 0
+        self.is_leaving = False
+        self._platform = platform
+        self._pool = pool
+        self._max_concurrency = max_concurrency
+        self._limits: dict[str, ConcurrencyLimit] = {}
+        self._budgets: dict[str, RetryBudget] = {}
+
+    async def complete(
+        self, tenant: str, fleet: str, request: GenerateRequest, deadline_seconds: float
+    ) -> AsyncGenerator[GenerationChunk, None]:
+        """Stream a completion.
+
+        Raises:
+            NotStartedError: given up before any token, with a time to come back.
+            InterruptedStepError: given up in mid-stream.
+        """
+        deadline = anyio.current_time() + deadline_seconds
+        with self._admitted(tenant, deadline_seconds):
+            pool = self._require_pool(MachineRole.ENGINE, fleet)
+            stream = generate_resumable(
+                pool, self._platform.engines, request, GenerationPolicy(), self._budget(fleet)
+            )
+            async with aclosing(stream) as chunks:
+                while True:
+                    chunk = await _next_before(deadline, chunks, fleet)
+                    if chunk is None:
+                        return
+                    yield chunk
+
+    async def call_application(
+        self, application: str, request: ApplicationRequest, is_safe: bool
+    ) -> ApplicationReply:
+        """Run a request on an application worker.
+
+        An unsafe request is tried elsewhere only if the worker certainly did not begin.
+
+        Raises:
+            NotStartedError: it was not run.
+            InterruptedStepError: it may have been run.
+        """
+        pool = self._require_pool(MachineRole.APPLICATION, application)
+        budget = self._budget(application)
+        budget.note_request()
+        excluded: frozenset[str] = frozenset()
+        failure: StepError = NotStartedError(
+            "route.application", application, "no worker may be used now", DEFAULT_RETRY_AFTER_SECONDS
+        )
+        for num_tries in range(MAX_APPLICATION_TRIES):
+            if num_tries > 0 and not budget.try_spend():
+                break
+            worker = pool.choose(RouteRequest(zone=pool.zone, excluded=excluded))
+            if worker is None:
+                break
+            try:
+                with pool.using(worker):
+                    return await self._platform.applications.call(worker.machine.address, request)
+            except StepError as error:
+                failure = error
+                excluded |= {worker.machine.machine_id}
+                if not is_safe and not isinstance(error, NotStartedError):
+                    break
+        raise failure
+
+    async def call_safe(
+        self,
+        tenant: str,
+        application: str,
+        request: ApplicationRequest,
+        is_safe: bool,
+        deadline_seconds: float,
+    ) -> ApplicationReply:
+        """Run a request without a key, within its deadline."""
+        with self._admitted(tenant, deadline_seconds):
+            try:
+                with anyio.fail_after(deadline_seconds):
+                    return await self.call_application(application, request, is_safe)
+            except TimeoutError as error:
+                raise InterruptedStepError("route.application", application, "the deadline passed") from error
+
+    @contextmanager
+    def counted(self) -> Iterator[None]:
+        """Count a request in flight, so that a planned stop waits for it.
+
+        Raises:
+            NotStartedError: this node is leaving and takes nothing new.
+        """
+        if self.is_leaving:
+            raise NotStartedError(
+                "gateway.admit", "this node", "the node is leaving", DEFAULT_RETRY_AFTER_SECONDS
+            )
+        self.num_in_flight += 1
+        try:
+            yield
+        finally:
+            self.num_in_flight -= 1
+
+    @contextmanager
+    def _admitted(self, tenant: str, deadline_seconds: float) -> Iterator[None]:
+        with self.counted():
+            limit = self._limit(tenant)
+            decision = limit.admit(deadline_seconds)
+            if isinstance(decision, Rejected):
+                raise NotStartedError("gateway.admit", tenant, decision.reason, decision.retry_after_seconds)
+            started_at = anyio.current_time()
+            is_success = False
+            try:
+                yield
+                is_success = True
+            except GeneratorExit:
+                # The caller hung up: no sign that the back ends are overloaded.
+                is_success = True
+                raise
+            finally:
+                limit.finish(anyio.current_time() - started_at, is_success)
+
+    def _require_pool(self, role: MachineRole, name: str) -> WorkerPool:
+        pool = self._pool(role, name)
+        if pool is None:
+            reason = f"no {role.value} of {name!r} is listed"
+            raise NotStartedError("route.pool", name, reason, DEFAULT_RETRY_AFTER_SECONDS)
+        return pool
+
+    def _limit(self, tenant: str) -> ConcurrencyLimit:
+        ceiling = self._max_concurrency(tenant)
+        limit = self._limits.get(tenant)
+        if limit is None:
+            limit = ConcurrencyLimit(ceiling)
+            self._limits[tenant] = limit
+        limit.max_concurrency = ceiling
+        return limit
+
+    def _budget(self, group: str) -> RetryBudget:
+        return self._budgets.setdefault(group, RetryBudget())
+
+
+async def _next_before(
+    deadline: float, chunks: AsyncGenerator[GenerationChunk, None], fleet: str
+) -> GenerationChunk | None:
+    """Return the next chunk, None at the end.
+
+    The cancel scope must not span a yield of the caller's generator, hence this helper.
+    """
+    try:
+        with anyio.fail_after(max(0.0, deadline - anyio.current_time())):
+            return await anext(chunks, None)
+    except TimeoutError as error:
+        raise InterruptedStepError("route.generate", fleet, "the deadline passed") from error
--- /dev/null
+++ b/src/worksramp/node/__init__.py
@@ -0,0 +1,1 @@
+"""Wiring, start and stop of one node."""
--- /dev/null
+++ b/src/worksramp/node/machines.py
@@ -0,0 +1,90 @@
+"""This node's copy of the machine list and the worker pools made from it."""
+
+import random
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+import anyio
+import anyio.abc
+import structlog
+
+from worksramp.outcomes import StepError
+from worksramp.platform.base import Machine, MachineRole, Platform, WorkerReport
+from worksramp.routing.pool import WorkerPool
+
+POLL_SECONDS = 2.0
+logger = structlog.get_logger()
+
+
+@dataclass(slots=True)
+class MachineDirectory:
+    """Follows the machine list; while it does not answer, the last copy is used.
+
+    Attributes:
+        node_id: seeds the subset of workers that this node uses.
+    """
+
+    platform: Platform
+    node_id: str
+    zone: str
+    subset_size: int
+    rng: random.Random
+    machines: tuple[Machine, ...] = ()
+    _pools: dict[tuple[MachineRole, str], WorkerPool] = field(default_factory=dict)
+    _group: anyio.abc.TaskGroup | None = None
+
+    async def run(self) -> None:
+        """Poll the list and keep every pool's reports fresh until cancelled."""
+        async with anyio.create_task_group() as group:
+            self._group = group
+            while True:
+                await self._poll()
+                await anyio.sleep(POLL_SECONDS)
+
+    def pool(self, role: MachineRole, group_name: str) -> WorkerPool | None:
+        """Return the pool of a fleet or application, None if the list names no machine of it."""
+        return self._pools.get((role, group_name))
+
+    def node_addresses(self) -> tuple[str, ...]:
+        """Return the addresses of listed nodes."""
+        return tuple(machine.address for machine in self.machines if machine.role is MachineRole.NODE)
+
+    def engines(self, fleet: str) -> tuple[Machine, ...]:
+        """Return all engines of a fleet, whatever this node's subset."""
+        return tuple(
+            machine
+            for machine in self.machines
+            if machine.role is MachineRole.ENGINE and machine.group == fleet
+        )
+
+    async def _poll(self) -> None:
+        try:
+            self.machines = await self.platform.machine_list.machines()
+        except StepError as error:
+            logger.warning("machine_list_failed", step=error.step, peer=error.peer, reason=error.reason)
+            return
+        for role, report in self._report_functions().items():
+            groups = {machine.group for machine in self.machines if machine.role is role}
+            for name in groups:
+                self._update_pool(role, name, report)
+
+    def _report_functions(self) -> dict[MachineRole, Callable[[str], Awaitable[WorkerReport]]]:
+        return {
+            MachineRole.ENGINE: self.platform.engines.report,
+            MachineRole.APPLICATION: self.platform.applications.report,
+        }
+
+    def _update_pool(
+        self, role: MachineRole, name: str, report: Callable[[str], Awaitable[WorkerReport]]
+    ) -> None:
+        pool = self._pools.get((role, name))
+        is_new = pool is None
+        if pool is None:
+            pool = WorkerPool(self.node_id, self.zone, report, self.subset_size, self.rng)
+            self._pools[(role, name)] = pool
+        members = tuple(
+            machine for machine in self.machines if machine.role is role and machine.group == name
+        )
+        pool.set_machines(members)
+        if is_new and self._group is not None:
+            self._group.start_soon(pool.run)
--- /dev/null
+++ b/src/worksramp/node/main.py
@@ -0,0 +1,85 @@
+"""Process of one node: HTTP server, signals and the node itself."""
+
+import os
+import signal
+import uuid
+
+import anyio
+import anyio.abc
+import httpx
+import structlog
+from hypercorn.asyncio import serve
+from hypercorn.config import Config
+
+from worksramp.gateway.app import make_application
+from worksramp.logs import configure_logs
+from worksramp.node.node import Identity, Node
+from worksramp.platform.http import http_platform
+from worksramp.settings import NodeSettings
+from worksramp.transport.tcp import TcpTransport
+
+MAX_CONNECTIONS = 2000
+MAX_KEEPALIVE_CONNECTIONS = 500
+KEEPALIVE_SECONDS = 30.0
+HTTP_SHUTDOWN_SECONDS = 2.0
+INSTANCE_SUFFIX_CHARACTERS = 8
+
+logger = structlog.get_logger()
+
+
+def make_identity(node_id: str) -> Identity:
+    """Return the identity of this start of a node."""
+    suffix = uuid.uuid4().hex[:INSTANCE_SUFFIX_CHARACTERS]
+    return Identity(f"{node_id}.{suffix}", int.from_bytes(os.urandom(8), "big"))
+
+
+async def run_node(settings: NodeSettings) -> None:
+    """Run a node until it is told to stop by SIGTERM, SIGINT or an operator."""
+    configure_logs(settings.log_level, node=settings.node_id, zone=settings.zone)
+    limits = httpx.Limits(
+        max_connections=MAX_CONNECTIONS,
+        max_keepalive_connections=MAX_KEEPALIVE_CONNECTIONS,
+        keepalive_expiry=KEEPALIVE_SECONDS,
+    )
+    async with httpx.AsyncClient(limits=limits, trust_env=False) as client:
+        platform = http_platform(
+            client, settings.platform.log, settings.platform.weight_store, settings.platform.machine_list
+        )
+        node = Node(settings, make_identity(settings.node_id), platform, TcpTransport(settings.peer_listen))
+        await _run_with_http(node)
+
+
+async def _run_with_http(node: Node) -> None:
+    config = Config()
+    config.bind = [node.settings.listen]
+    config.graceful_timeout = HTTP_SHUTDOWN_SECONDS
+    config.accesslog = None
+    config.errorlog = None
+    stopped = anyio.Event()
+    async with anyio.create_task_group() as group:
+        application = make_application(node, group)
+        group.start_soon(_stop_on_signal, node, group.cancel_scope)
+
+        async def serve_http() -> None:
+            await serve(application, config, shutdown_trigger=stopped.wait)  # type: ignore[arg-type]
+
+        group.start_soon(serve_http)
+        logger.info("node_started", instance=node.identity.instance_id, listen=node.settings.listen)
+        await node.run()
+        stopped.set()
+        await anyio.sleep(HTTP_SHUTDOWN_SECONDS / 4)
+        group.cancel_scope.cancel()
+
+
+async def _stop_on_signal(node: Node, scope: anyio.CancelScope) -> None:
+    """Stop in order at the first signal; at the second, at once, saying what was cut."""
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        is_stopping = False
+        async with anyio.create_task_group() as group:
+            async for number in signals:
+                if is_stopping:
+                    logger.warning("node_stopped_at_once", signal=number.name, num_cut=node.num_in_flight)
+                    scope.cancel()
+                    return
+                is_stopping = True
+                group.start_soon(node.stop)
--- /dev/null
+++ b/src/worksramp/node/node.py
@@ -0,0 +1,246 @@
+"""One node: its parts wired together, the calls of other nodes answered, and an orderly stop."""
+
+import random
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import anyio
+import anyio.abc
+import msgspec
+import structlog
+
+from worksramp.coordination.configuration import TenantConfiguration
+from worksramp.coordination.configuration_service import ConfigurationService
+from worksramp.coordination.membership import Member, Membership
+from worksramp.coordination.membership_service import MembershipService
+from worksramp.coordination.peers import PeerCaller
+from worksramp.gateway.live import LiveTraffic
+from worksramp.node.machines import MachineDirectory
+from worksramp.node.plans import ShardPlanner
+from worksramp.node.shards import ShardManager
+from worksramp.outcomes import NotStartedError, StepError
+from worksramp.platform.base import ApplicationReply, ApplicationRequest, MachineRole, Platform
+from worksramp.rollout.document import SCHEMA_VERSION, TenantDocument, decode_document, validate_document
+from worksramp.rollout.sampler import run_sample
+from worksramp.routing.limits import RetryBudget
+from worksramp.settings import NodeSettings, Role
+from worksramp.transport.base import Transport
+from worksramp.transport.messages import (
+    CallFailed,
+    DescribeShard,
+    ExecuteOnce,
+    FetchBatch,
+    NodeReply,
+    NodeRequest,
+    PullConfiguration,
+    PushConfiguration,
+    RunSample,
+    SampleReply,
+    decode_request,
+    encode_message,
+)
+
+VALIDATORS = {SCHEMA_VERSION: validate_document}
+SAMPLE_TIMEOUT_SECONDS = 600.0
+DRAIN_POLL_SECONDS = 0.1
+LEAVE_SPREAD_SECONDS = 0.5
+MILLISECONDS = 1000
+
+logger = structlog.get_logger()
+
+
+def unix_time_ms() -> int:
+    """Return the wall clock, in milliseconds since 1970."""
+    return int(time.time() * MILLISECONDS)
+
+
+@dataclass(frozen=True, slots=True)
+class Identity:
+    """Who this process is.
+
+    Attributes:
+        instance_id: node id and a part that no other start of the node has.
+        seed: seed of this process's random choices.
+    """
+
+    instance_id: str
+    seed: int
+
+
+class Node:
+    """A worksramp node, without its HTTP servers.
+
+    Args:
+        settings: checked settings.
+        identity: id of this process.
+        platform: clients of the outside systems.
+        transport: this node's end of the node-to-node network.
+        wall_clock_ms: Unix time; decides only what old rows the ledger forgets.
+    """
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        identity: Identity,
+        platform: Platform,
+        transport: Transport,
+        wall_clock_ms: Callable[[], int] = unix_time_ms,
+    ) -> None:
+        self.settings = settings
+        self.identity = identity
+        self.platform = platform
+        self.documents: dict[str, TenantDocument] = {}
+        self.is_leaving = False
+        self._transport = transport
+        self._rng = random.Random(identity.seed)
+        self._num_calls = 0
+        self.membership = Membership(self._self_member(), identity.seed)
+        self.peers = PeerCaller(transport, self.membership)
+        self.configuration = ConfigurationService(
+            platform.log, self.peers, self.membership, VALIDATORS, self._rng, self._take_document
+        )
+        self.directory = MachineDirectory(
+            platform, settings.node_id, settings.zone, settings.subset_size, self._rng
+        )
+        self.membership_service = MembershipService(
+            self.membership, transport, self.directory.node_addresses, self._pull_configuration
+        )
+        self.planner = ShardPlanner(self, wall_clock_ms)
+        self.shards = ShardManager(identity.instance_id, self.membership, self.planner.plans)
+        self.live = LiveTraffic(platform, self.directory.pool, self._max_live_concurrency)
+        self._sample_budget = RetryBudget()
+        self._scope = anyio.CancelScope()
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether requests may be taken: the configuration is current and the node is staying."""
+        return self.configuration.is_ready and not self.is_leaving
+
+    async def run(self) -> None:
+        """Run until `stop` has finished or the caller cancels."""
+        with self._scope:
+            async with anyio.create_task_group() as group:
+                self.planner.background = group
+                group.start_soon(self._transport.serve, self.membership_service.receive, self.handle_call)
+                group.start_soon(self.directory.run)
+                group.start_soon(self.membership_service.run)
+                group.start_soon(self.configuration.run)
+                group.start_soon(self._write_snapshots)
+                if Role.COORDINATOR in self.settings.roles:
+                    group.start_soon(self.shards.run)
+
+    async def stop(self) -> None:
+        """Leave in order: announce it, refuse new work, hand shards over, finish what is in flight."""
+        self.is_leaving = True
+        self.live.is_leaving = True
+        logger.info("node_leaving", node=self.identity.instance_id)
+        await self.membership_service.leave()
+        await self.shards.release_all()
+        with anyio.move_on_after(self.settings.drain_seconds):
+            # Calls and streams are counted by those who serve them; new ones are refused by now.
+            await anyio.sleep(LEAVE_SPREAD_SECONDS)
+            while self.num_in_flight > 0:
+                await anyio.sleep(DRAIN_POLL_SECONDS)
+        logger.info("node_left", node=self.identity.instance_id, num_cut=self.num_in_flight)
+        self._scope.cancel()
+
+    @property
+    def num_in_flight(self) -> int:
+        """Live requests, and calls of other nodes, that have not ended."""
+        return self.live.num_in_flight + self._num_calls
+
+    @property
+    def owned_shards(self) -> dict[str, dict[str, int]]:
+        """Figures of the shards that this node serves."""
+        return {shard: service.figures() for shard, service in self.shards.services().items()}
+
+    async def handle_call(self, payload: bytes) -> bytes:
+        """Answer one call of another node."""
+        try:
+            request = decode_request(payload)
+        except msgspec.DecodeError as error:
+            reply: NodeReply = CallFailed("node.decode", self.settings.node_id, str(error), True)
+            return encode_message(reply)
+        self._num_calls += 1
+        try:
+            return encode_message(await self.answer(request))
+        except StepError as error:
+            is_not_started = isinstance(error, NotStartedError)
+            return encode_message(CallFailed(error.step, error.peer, error.reason, is_not_started))
+        finally:
+            self._num_calls -= 1
+
+    async def answer(self, request: NodeRequest) -> NodeReply:
+        """Answer one request, from this node or another."""
+        match request:
+            case PushConfiguration():
+                return self.configuration.take_push(request)
+            case PullConfiguration():
+                return self.configuration.answer_pull(request)
+            case RunSample():
+                return await self._run_sample_here(request)
+            case ExecuteOnce() | FetchBatch() | DescribeShard():
+                return await self.shards.handle(request.shard, request)
+
+    async def call_owner(
+        self, request: ExecuteOnce | FetchBatch | DescribeShard, seconds: float
+    ) -> NodeReply:
+        """Have the owner of a shard answer a request; this node itself if it is the owner."""
+        return await self.peers.call_owner(request.shard, request, seconds)
+
+    async def run_sample(self, request: RunSample) -> SampleReply:
+        """Generate a sample on some live node, this one included, in turn.
+
+        Raises:
+            StepError: the sample failed; it may be tried again.
+        """
+        others = [member for member in self.peers.live_peers() if member.status.name == "ALIVE"]
+        choice = self._rng.randrange(len(others) + 1)
+        if choice == len(others):
+            reply = await self._run_sample_here(request)
+        else:
+            reply = await self.peers.call(others[choice].address, request, SAMPLE_TIMEOUT_SECONDS)
+        if isinstance(reply, SampleReply):
+            return reply
+        if isinstance(reply, CallFailed):
+            raise StepError(reply.step, reply.peer, reply.reason)
+        raise StepError("node.run_sample", self.settings.node_id, f"unexpected {type(reply).__name__}")
+
+    async def dispatch_application(self, request: ExecuteOnce) -> ApplicationReply:
+        """Send a keyed request to one application worker; another only if the first did not begin."""
+        call = ApplicationRequest(request.key, request.method, request.path, request.body)
+        return await self.live.call_application(request.application, call, is_safe=False)
+
+    async def _run_sample_here(self, request: RunSample) -> NodeReply:
+        if self.is_leaving:
+            return CallFailed("node.run_sample", self.settings.node_id, "leaving", is_not_started=True)
+        pool = self.directory.pool(MachineRole.ENGINE, request.fleet)
+        if pool is None:
+            reason = f"no engine of fleet {request.fleet!r} is listed"
+            return CallFailed("node.run_sample", self.settings.node_id, reason, is_not_started=True)
+        return await run_sample(request, pool, self.platform.engines, self._sample_budget)
+
+    async def _pull_configuration(self, address: str) -> None:
+        await self.configuration.pull_from(address)
+
+    async def _write_snapshots(self) -> None:
+        while True:
+            await self.configuration.wait_changed()
+            await self.configuration.append_snapshot_if_due()
+
+    def _take_document(self, configuration: TenantConfiguration) -> None:
+        self.documents[configuration.tenant] = decode_document(configuration.document)
+
+    def _max_live_concurrency(self, tenant: str) -> int:
+        document = self.documents.get(tenant)
+        return (document or TenantDocument()).max_live_concurrency
+
+    def _self_member(self) -> Member:
+        return Member(
+            instance_id=self.identity.instance_id,
+            address=self.settings.peer_listen,
+            zone=self.settings.zone,
+            roles=tuple(role.value for role in self.settings.roles),
+            max_schema_version=SCHEMA_VERSION,
+        )
--- /dev/null
+++ b/src/worksramp/node/plans.py
@@ -0,0 +1,121 @@
+"""Which shards the configuration in force calls for, and how each is followed and served."""
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any
+
+import anyio.abc
+import msgspec
+
+from worksramp.coordination.ledger import LedgerState
+from worksramp.coordination.ledger_service import LedgerService
+from worksramp.coordination.replica import StreamReplica
+from worksramp.node.shards import AnyReplica, ShardPlan
+from worksramp.platform.base import Machine
+from worksramp.rollout.document import JobSpec, TenantDocument, group_name, resolve_job
+from worksramp.rollout.job import JobState
+from worksramp.rollout.job_service import JobService
+from worksramp.weights.fleet_service import EmptyState, FleetService
+from worksramp.weights.planner import cell_of
+
+if TYPE_CHECKING:
+    from worksramp.node.node import Node
+
+JOB_SNAPSHOT_EVERY = 500
+LEDGER_SNAPSHOT_EVERY = 500
+
+
+def job_shard(tenant: str, job: str) -> str:
+    """Return the shard, and stream, of a job."""
+    return f"job.{tenant}.{job}"
+
+
+def ledger_shard(number: int) -> str:
+    """Return the shard, and stream, of a ledger slice."""
+    return f"ledger.{number}"
+
+
+def fleet_shard(fleet: str, cell: int) -> str:
+    """Return the shard, and stream, of one cell of a fleet."""
+    return f"fleet.{fleet}.{cell}"
+
+
+class ShardPlanner:
+    """Derives shard plans for one node."""
+
+    def __init__(self, node: "Node", wall_clock_ms: Callable[[], int]) -> None:
+        self.background: anyio.abc.TaskGroup | None = None
+        self._node = node
+        self._wall_clock_ms = wall_clock_ms
+
+    def plans(self) -> dict[str, ShardPlan]:
+        """Return all shards; none before the configuration is known."""
+        if not self._node.configuration.is_ready:
+            return {}
+        plans = [self._ledger_plan(number) for number in range(self._node.settings.num_ledger_shards)]
+        for tenant, document in self._node.documents.items():
+            for job in document.jobs:
+                spec = resolve_job(document, job)
+                fleet = group_name(tenant, document.models[spec.model])
+                plans.append(self._job_plan(job_shard(tenant, job), spec, fleet, document))
+            for model, fleet_name in document.models.items():
+                plans += self._fleet_plans(model, group_name(tenant, fleet_name), document.num_fleet_cells)
+        return {plan.shard: plan for plan in plans}
+
+    def _replica(self, shard: str, state: Any, snapshot_every: int) -> AnyReplica:
+        instance_id = self._node.identity.instance_id
+        return StreamReplica(
+            self._node.platform.log, shard, state, instance_id, snapshot_every=snapshot_every
+        )
+
+    def _ledger_plan(self, number: int) -> ShardPlan:
+        shard = ledger_shard(number)
+
+        def make_service(replica: AnyReplica) -> LedgerService:
+            assert self.background is not None
+            dispatch = self._node.dispatch_application
+            return LedgerService(replica, dispatch, self.background, self._wall_clock_ms)
+
+        return ShardPlan(
+            shard, "", lambda: self._replica(shard, LedgerState(), LEDGER_SNAPSHOT_EVERY), make_service
+        )
+
+    def _job_plan(self, shard: str, spec: JobSpec, fleet: str, document: TenantDocument) -> ShardPlan:
+        platform = self._node.platform
+
+        def make_service(replica: AnyReplica) -> JobService:
+            return JobService(
+                replica,
+                spec,
+                fleet,
+                document.preference,
+                self._node.run_sample,
+                platform.log,
+                platform.scorers,
+                platform.weight_store,
+            )
+
+        fingerprint = msgspec.json.encode((spec, fleet, document.preference)).decode()
+        return ShardPlan(
+            shard, fingerprint, lambda: self._replica(shard, JobState(), JOB_SNAPSHOT_EVERY), make_service
+        )
+
+    def _fleet_plans(self, model: str, fleet: str, num_cells: int) -> list[ShardPlan]:
+        return [self._fleet_plan(model, fleet, cell, num_cells) for cell in range(num_cells)]
+
+    def _fleet_plan(self, model: str, fleet: str, cell: int, num_cells: int) -> ShardPlan:
+        shard = fleet_shard(fleet, cell)
+        platform = self._node.platform
+
+        def machines() -> tuple[Machine, ...]:
+            return tuple(
+                machine
+                for machine in self._node.directory.engines(fleet)
+                if cell_of(machine.machine_id, num_cells) == cell
+            )
+
+        def make_service(replica: AnyReplica) -> FleetService:
+            return FleetService(replica, model, machines, platform.engines, platform.weight_store)
+
+        return ShardPlan(
+            shard, f"{model}/{num_cells}", lambda: self._replica(shard, EmptyState(), 0), make_service
+        )
--- /dev/null
+++ b/src/worksramp/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Seams to the outside systems, one abstract class each."""
--- /dev/null
+++ b/src/worksramp/rollout/__init__.py
@@ -0,0 +1,1 @@
+"""Rollout jobs: sampling, staleness and batch delivery."""
--- /dev/null
+++ b/src/worksramp/rollout/job_service.py
@@ -0,0 +1,274 @@
+"""Owner of one job: keeps samples coming, and hands out batches by cursor.
+
+See Also:
+    worksramp.rollout.planner: what to start and what a batch takes.
+    docs/design/delivery.md
+"""
+
+import itertools
+from collections.abc import Awaitable, Callable
+
+import anyio
+import anyio.abc
+import msgspec
+import structlog
+
+from worksramp.coordination.fold import Accepted, Envelope, Write
+from worksramp.coordination.peers import encode_entry
+from worksramp.coordination.replica import StreamReplica
+from worksramp.coordination.shard import ShardService
+from worksramp.outcomes import NotStartedError, StepError
+from worksramp.platform.base import LogClient, ScorerClient, WeightStoreClient
+from worksramp.rollout.document import JobSpec, Preference
+from worksramp.rollout.job import BatchCommitted, JobState, SampleFinished, Segment
+from worksramp.rollout.planner import BatchPlan, NotEnoughSamples, is_batch_fresh, plan_batch, plan_sampling
+from worksramp.rollout.prompts import read_prompts
+from worksramp.transport.messages import (
+    BatchNotReady,
+    BatchRefused,
+    BatchReply,
+    FetchBatch,
+    NodeReply,
+    NodeRequest,
+    NotOwner,
+    RunSample,
+    SampleReply,
+)
+
+PLAN_PERIOD_SECONDS = 0.1
+FAILED_SAMPLE_PAUSE_SECONDS = 0.3
+VERSION_POLL_SECONDS = 1.0
+COMMIT_PATIENCE_SECONDS = 5.0
+RETRY_AFTER_SECONDS = 0.5
+SEED_MODULUS = 2**31
+
+RunSampleFunction = Callable[[RunSample], Awaitable[SampleReply]]
+logger = structlog.get_logger()
+
+
+class DeliveredSample(msgspec.Struct, frozen=True):
+    """One sample as the trainer gets it."""
+
+    index: int
+    attempt: int
+    prompt: str
+    tokens: tuple[str, ...]
+    segments: tuple[Segment, ...]
+    reward: float
+
+
+class DeliveredBatch(msgspec.Struct, frozen=True):
+    """A batch as the trainer gets it.
+
+    Attributes:
+        trainer_version: weights for which the staleness bound was checked; a trainer that has moved on
+            since it asked must ask again for the same cursor.
+    """
+
+    cursor: int
+    attempt: int
+    trainer_version: int
+    samples: tuple[DeliveredSample, ...]
+
+
+class JobService(ShardService):
+    """Runs one job while this node owns it.
+
+    Args:
+        replica: the job's stream.
+        spec: the job's settings.
+        fleet: group of engines that serve its model.
+        preference: which figure the sample plan favours.
+        run_sample: generates one completion on some node.
+    """
+
+    def __init__(
+        self,
+        replica: StreamReplica[JobState],
+        spec: JobSpec,
+        fleet: str,
+        preference: Preference,
+        run_sample: RunSampleFunction,
+        log: LogClient,
+        scorers: ScorerClient,
+        weight_store: WeightStoreClient,
+    ) -> None:
+        self.spec = spec
+        self._fleet = fleet
+        self.preference = preference
+        self._replica = replica
+        self._run_sample = run_sample
+        self._log = log
+        self._scorers = scorers
+        self._weight_store = weight_store
+        self._prompts: tuple[str, ...] = ()
+        self._in_flight: set[int] = set()
+        self._bodies: dict[int, DeliveredSample] = {}
+        self._trainer_version = 0
+        self._num_failed = 0
+        self._batch_lock = anyio.Lock()
+        self._request_numbers = itertools.count(1)
+
+    async def run(self) -> None:
+        """Read the prompts, then keep samples in flight until cancelled."""
+        self._prompts = await read_prompts(self._log, self.spec.prompt_set, self.spec.num_prompts)
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._follow_versions)
+            while True:
+                self._forget_taken_bodies()
+                self._start_samples(group)
+                await anyio.sleep(PLAN_PERIOD_SECONDS)
+
+    async def handle(self, request: NodeRequest) -> NodeReply:
+        """Answer `FetchBatch`."""
+        if not isinstance(request, FetchBatch):
+            return NotOwner()
+        async with self._batch_lock:
+            return await self._fetch_batch(request)
+
+    def figures(self) -> dict[str, int]:
+        """See `ShardService.figures`."""
+        state = self._replica.state
+        return {
+            "num_finished": len(state.finished),
+            "num_in_flight": len(self._in_flight),
+            "num_taken": state.floor + len(state.taken_above),
+            "cursor": state.batch.cursor if state.batch else 0,
+            "num_failed_tries": self._num_failed,
+        }
+
+    async def _follow_versions(self) -> None:
+        """Learn of new weights, so that staleness is judged by the newest version known."""
+        while True:
+            try:
+                newest = await self._weight_store.newest_version(self.spec.model)
+                self._trainer_version = max(self._trainer_version, newest)
+            except StepError:
+                # The trainer's own requests also say which version it holds.
+                pass
+            await anyio.sleep(VERSION_POLL_SECONDS)
+
+    def _start_samples(self, group: anyio.abc.TaskGroup) -> None:
+        if not self._replica.is_owner or not self._replica.is_log_reachable:
+            return
+        state = self._replica.state
+        chosen = plan_sampling(state, self.spec, self.preference, self._in_flight, self._trainer_version)
+        for index in chosen:
+            self._in_flight.add(index)
+            group.start_soon(self._make_sample, index)
+
+    async def _make_sample(self, index: int) -> None:
+        try:
+            await self._try_sample(index)
+        except StepError as error:
+            self._num_failed += 1
+            logger.debug("sample_failed", index=index, step=error.step, peer=error.peer, reason=error.reason)
+            await anyio.sleep(FAILED_SAMPLE_PAUSE_SECONDS)
+        finally:
+            self._in_flight.discard(index)
+
+    async def _try_sample(self, index: int) -> None:
+        spec = self.spec
+        prompt = self._prompts[(index // spec.group_size) % len(self._prompts)]
+        held = self._replica.state.finished.get(index)
+        attempt = held.attempt + 1 if held is not None else 1
+        request = RunSample(
+            request_id=f"{self._replica.stream}/{index}/{attempt}/{next(self._request_numbers)}",
+            fleet=self._fleet,
+            model=spec.model,
+            prompt=prompt,
+            seed=(index * spec.samples_per_step + attempt) % SEED_MODULUS,
+            max_tokens=spec.max_tokens,
+            min_weight_version=max(0, self._trainer_version - spec.max_staleness),
+        )
+        reply = await self._run_sample(request)
+        reward = await self._scorers.score(spec.scorer, prompt, "".join(reply.tokens))
+        segments = tuple(Segment(part.weight_version, part.start, part.end) for part in reply.segments)
+        sample = SampleFinished(index, attempt, prompt, reply.tokens, segments, reward)
+        verdict = await self._replica.commit(encode_entry(sample), is_patient=True)
+        if isinstance(verdict, Accepted):
+            self._bodies[index] = DeliveredSample(index, attempt, prompt, reply.tokens, segments, reward)
+
+    def _forget_taken_bodies(self) -> None:
+        state = self._replica.state
+        for index in [index for index in self._bodies if state.is_taken(index)]:
+            del self._bodies[index]
+
+    async def _fetch_batch(self, request: FetchBatch) -> NodeReply:
+        state = self._replica.state
+        self._trainer_version = max(self._trainer_version, request.trainer_version)
+        last_cursor = state.batch.cursor if state.batch else 0
+        if request.cursor not in (last_cursor, last_cursor + 1) or request.cursor < 1:
+            return BatchRefused("cursor", f"batch {last_cursor} was the last; ask for it or the next")
+        is_again = request.cursor == last_cursor
+        # The trainer may have published since it asked: the newest version known decides.
+        trainer_version = self._trainer_version
+        if is_again and is_batch_fresh(state, self.spec, trainer_version):
+            return await self._send_batch(trainer_version)
+        plan = plan_batch(state, self.spec, trainer_version, is_replan=is_again)
+        if isinstance(plan, NotEnoughSamples):
+            return BatchNotReady(plan.num_missing, RETRY_AFTER_SECONDS)
+        return await self._commit_batch(request, plan, trainer_version, is_again)
+
+    async def _commit_batch(
+        self, request: FetchBatch, plan: BatchPlan, trainer_version: int, is_again: bool
+    ) -> NodeReply:
+        batch = self._replica.state.batch
+        entry = BatchCommitted(
+            cursor=request.cursor,
+            attempt=batch.attempt + 1 if batch is not None and is_again else 1,
+            trainer_version=trainer_version,
+            max_staleness=self.spec.max_staleness,
+            indices=plan.indices,
+        )
+        try:
+            verdict = await self._replica.commit(encode_entry(entry), COMMIT_PATIENCE_SECONDS)
+        except NotStartedError:
+            return BatchNotReady(0, RETRY_AFTER_SECONDS)
+        if not isinstance(verdict, Accepted):
+            # Unresolved or void: asking again for the same cursor tells.
+            return BatchNotReady(0, RETRY_AFTER_SECONDS)
+        return await self._send_batch(trainer_version)
+
+    async def _send_batch(self, trainer_version: int) -> NodeReply:
+        """Return the committed batch, checked once more against the newest version known."""
+        state = self._replica.state
+        batch = state.batch
+        assert batch is not None
+        try:
+            samples = [await self._body(index) for index in batch.indices]
+        except StepError:
+            return BatchNotReady(0, RETRY_AFTER_SECONDS)
+        if not self._replica.is_owner or not is_batch_fresh(state, self.spec, self._trainer_version):
+            return BatchNotReady(0, RETRY_AFTER_SECONDS)
+        delivered = DeliveredBatch(batch.cursor, batch.attempt, self._trainer_version, tuple(samples))
+        return BatchReply(msgspec.json.encode(delivered))
+
+    async def _body(self, index: int) -> DeliveredSample:
+        """Return a sample's text, from memory or, after a change of owner, from the log."""
+        held = self._replica.state.finished[index]
+        body = self._bodies.get(index)
+        if body is not None and body.attempt == held.attempt:
+            return body
+        entry = await self._read_sample(held.offset, index, held.attempt)
+        body = DeliveredSample(
+            entry.index, entry.attempt, entry.prompt, entry.tokens, entry.segments, entry.reward
+        )
+        self._bodies[index] = body
+        return body
+
+    async def _read_sample(self, offset: int, index: int, attempt: int) -> SampleFinished:
+        page = await self._log.read(self._replica.stream, offset, 1, 0.0)
+        for sample in samples_of_record(page.records[0]) if page.records else ():
+            if (sample.index, sample.attempt) == (index, attempt):
+                return sample
+        raise StepError("job.read_sample", self._replica.stream, f"sample {index} is not at offset {offset}")
+
+
+def samples_of_record(record: bytes) -> tuple[SampleFinished, ...]:
+    """Return the finished samples that one log record carries."""
+    body = msgspec.msgpack.decode(record, type=Envelope).body
+    if not isinstance(body, Write):
+        return ()
+    entries = (msgspec.msgpack.decode(entry, type=SampleFinished | BatchCommitted) for entry in body.entries)
+    return tuple(entry for entry in entries if isinstance(entry, SampleFinished))
--- /dev/null
+++ b/src/worksramp/rollout/sampler.py
@@ -0,0 +1,63 @@
+"""Generates one sample's completion on this node, for whichever job owner asked."""
+
+from contextlib import aclosing
+
+from worksramp.outcomes import StepError
+from worksramp.platform.base import EngineClient, GenerateRequest, GenerationChunk
+from worksramp.routing.generation import GenerationPolicy, generate_resumable
+from worksramp.routing.limits import RetryBudget
+from worksramp.routing.pool import WorkerPool
+from worksramp.transport.messages import CallFailed, RunSample, SampleReply, SegmentReply
+
+ROLLOUT_PRIORITY = 10
+LIVE_RESERVED_SHARE = 0.25
+
+
+class SegmentRecorder:
+    """Joins chunks into segments by the weight version that each chunk itself names."""
+
+    def __init__(self) -> None:
+        self.tokens: list[str] = []
+        self._segments: list[SegmentReply] = []
+
+    def take(self, chunk: GenerationChunk) -> None:
+        """Add a chunk; chunks must follow each other without gaps."""
+        if not chunk.tokens:
+            return
+        start = len(self.tokens)
+        self.tokens.extend(chunk.tokens)
+        end = len(self.tokens)
+        last = self._segments[-1] if self._segments else None
+        if last is not None and last.weight_version == chunk.weight_version:
+            self._segments[-1] = SegmentReply(last.weight_version, last.start, end)
+        else:
+            self._segments.append(SegmentReply(chunk.weight_version, start, end))
+
+    def sample(self) -> SampleReply:
+        """Return what was recorded."""
+        return SampleReply(tuple(self.tokens), tuple(self._segments))
+
+
+async def run_sample(
+    request: RunSample, pool: WorkerPool, engines: EngineClient, budget: RetryBudget
+) -> SampleReply | CallFailed:
+    """Generate one completion, resumed on another engine when one breaks."""
+    policy = GenerationPolicy(
+        reserved_share=LIVE_RESERVED_SHARE, min_weight_version=request.min_weight_version
+    )
+    generate = GenerateRequest(
+        request_id=request.request_id,
+        model=request.model,
+        prompt=request.prompt,
+        max_tokens=request.max_tokens,
+        seed=request.seed,
+        priority=ROLLOUT_PRIORITY,
+    )
+    recorder = SegmentRecorder()
+    try:
+        async with aclosing(generate_resumable(pool, engines, generate, policy, budget)) as chunks:
+            async for chunk in chunks:
+                recorder.take(chunk)
+    except StepError as error:
+        return CallFailed(error.step, error.peer, error.reason, is_not_started=not recorder.tokens)
+    return recorder.sample()
--- /dev/null
+++ b/src/worksramp/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of a worker, load limits and retries."""
--- /dev/null
+++ b/src/worksramp/routing/leases.py
@@ -0,0 +1,118 @@
+"""Report leases: a worker may be given work only while a recent report says that it is not leaving.
+
+Each load report is a lease that runs from when the report was asked for, less the age that the worker
+itself states. A worker that leaves at time T can be given nothing after T plus `LEASE_SECONDS`, whatever
+becomes of the machine list, of gossip or of later reports. Evidence of leaving is sticky.
+
+See Also:
+    docs/design/routing.md, "Leaving back ends"
+"""
+
+from dataclasses import dataclass
+
+from worksramp.platform.base import Machine, WorkerReport
+
+LEASE_SECONDS = 3.0
+
+
+@dataclass(frozen=True, slots=True)
+class Worker:
+    """A machine that may be given work, with its newest report.
+
+    Attributes:
+        asked_at: when the report was asked for, on this node's clock.
+        num_sent_since: requests this node has sent that the report cannot know of yet.
+    """
+
+    machine: Machine
+    report: WorkerReport
+    asked_at: float
+    num_in_flight: int = 0
+
+    @property
+    def estimated_load(self) -> int:
+        """Requests on the worker: the lagged report, or what this node itself has there if more."""
+        return max(self.report.num_running + self.report.num_queued, self.num_in_flight)
+
+    @property
+    def has_room(self) -> bool:
+        """Whether another request would start at once."""
+        return self.estimated_load < self.report.max_num_seqs
+
+    @property
+    def expires_at(self) -> float:
+        """When the lease ends, on this node's clock."""
+        return self.asked_at - self.report.age_seconds + LEASE_SECONDS
+
+
+class WorkerTable:
+    """The workers of one group (a fleet or an application) as one node knows them."""
+
+    def __init__(self) -> None:
+        self._machines: dict[str, Machine] = {}
+        self._reports: dict[str, tuple[WorkerReport, float]] = {}
+        self._in_flight: dict[str, int] = {}
+        self._leaving: set[tuple[str, int]] = set()
+
+    def set_machines(self, machines: tuple[Machine, ...]) -> None:
+        """Take the machine list's view; a leaving mark in it is sticky for that incarnation."""
+        self._machines = {machine.machine_id: machine for machine in machines}
+        for machine in machines:
+            if machine.is_leaving:
+                self.mark_leaving(machine.machine_id)
+        known = self._machines.keys()
+        self._reports = {key: value for key, value in self._reports.items() if key in known}
+
+    def machines(self) -> tuple[Machine, ...]:
+        """Return the machines of the group, leaving ones included."""
+        return tuple(self._machines.values())
+
+    def take_report(self, machine_id: str, report: WorkerReport, asked_at: float) -> None:
+        """Take a load report; an older one than is held is ignored."""
+        held = self._reports.get(machine_id)
+        if held is not None and held[1] - held[0].age_seconds > asked_at - report.age_seconds:
+            return
+        self._reports[machine_id] = (report, asked_at)
+        if report.is_leaving:
+            self.mark_leaving(machine_id)
+
+    def mark_leaving(self, machine_id: str) -> None:
+        """Note evidence that this incarnation of a machine is leaving; it is never taken back."""
+        machine = self._machines.get(machine_id)
+        if machine is not None:
+            self._leaving.add((machine_id, machine.incarnation))
+
+    def drop_lease(self, machine_id: str) -> None:
+        """Stop using a worker until it reports again, after it failed a request."""
+        self._reports.pop(machine_id, None)
+
+    def begin(self, machine_id: str) -> None:
+        """Count a request sent to a worker."""
+        self._in_flight[machine_id] = self._in_flight.get(machine_id, 0) + 1
+
+    def end(self, machine_id: str) -> None:
+        """Count a request to a worker as over."""
+        left = self._in_flight.get(machine_id, 0) - 1
+        if left > 0:
+            self._in_flight[machine_id] = left
+        else:
+            self._in_flight.pop(machine_id, None)
+
+    def usable(self, now: float) -> tuple[Worker, ...]:
+        """Return the workers that hold a lease now and show no evidence of leaving."""
+        return tuple(worker for worker in self._workers() if self._is_usable(worker, now))
+
+    def reported_versions(self) -> dict[str, int]:
+        """Return the weight version that each worker last reported, by machine id."""
+        return {key: report.weight_version for key, (report, _) in self._reports.items()}
+
+    def _workers(self) -> list[Worker]:
+        return [
+            Worker(self._machines[key], report, asked_at, self._in_flight.get(key, 0))
+            for key, (report, asked_at) in self._reports.items()
+            if key in self._machines
+        ]
+
+    def _is_usable(self, worker: Worker, now: float) -> bool:
+        identity = (worker.machine.machine_id, worker.machine.incarnation)
+        return now < worker.expires_at and identity not in self._leaving and not worker.report.is_leaving
--- /dev/null
+++ b/src/worksramp/routing/pool.py
@@ -0,0 +1,89 @@
+"""Shell around a worker table: keep leases fresh by asking for load reports, and pick workers."""
+
+import random
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import contextmanager
+
+import anyio
+
+from worksramp.outcomes import NotStartedError, StepError
+from worksramp.platform.base import Machine, WorkerReport
+from worksramp.routing.choice import RouteRequest, choose_worker
+from worksramp.routing.leases import Worker, WorkerTable
+from worksramp.routing.subset import choose_subset
+
+REPORT_PERIOD_SECONDS = 1.0
+REPORT_TIMEOUT_SECONDS = 0.8
+
+ReportFunction = Callable[[str], Awaitable[WorkerReport]]
+
+
+class WorkerPool:
+    """The workers of one group that this node uses.
+
+    Args:
+        node_id: seeds the subset, so that nodes spread over workers.
+        zone: this node's zone.
+        ask_report: asks one address for its load report.
+        subset_size: at most so many workers are used by this node.
+        rng: source of the two random choices.
+    """
+
+    def __init__(
+        self, node_id: str, zone: str, ask_report: ReportFunction, subset_size: int, rng: random.Random
+    ) -> None:
+        self.table = WorkerTable()
+        self.zone = zone
+        self._node_id = node_id
+        self._ask_report = ask_report
+        self._subset_size = subset_size
+        self._rng = rng
+
+    def set_machines(self, machines: tuple[Machine, ...]) -> None:
+        """Take the machine list's view of the group, reduced to this node's subset."""
+        self.table.set_machines(choose_subset(self._node_id, machines, self._subset_size))
+
+    def choose(self, request: RouteRequest) -> Worker | None:
+        """Return a worker that may be given this request now, if there is one."""
+        return choose_worker(self.table.usable(anyio.current_time()), request, self._rng)
+
+    def max_reported_version(self) -> int:
+        """Return the newest weight version that a worker reports."""
+        return max(self.table.reported_versions().values(), default=0)
+
+    @contextmanager
+    def using(self, worker: Worker) -> Iterator[None]:
+        """Count a request on the worker, and learn from its failure."""
+        machine_id = worker.machine.machine_id
+        self.table.begin(machine_id)
+        try:
+            yield
+        except NotStartedError as error:
+            if error.is_leaving:
+                self.table.mark_leaving(machine_id)
+            elif error.retry_after_seconds is None:
+                self.table.drop_lease(machine_id)
+            raise
+        except StepError:
+            self.table.drop_lease(machine_id)
+            raise
+        finally:
+            self.table.end(machine_id)
+
+    async def run(self) -> None:
+        """Ask for reports for ever, each worker once a period."""
+        while True:
+            async with anyio.create_task_group() as group:
+                for machine in self.table.machines():
+                    group.start_soon(self._refresh, machine)
+                group.start_soon(anyio.sleep, REPORT_PERIOD_SECONDS)
+
+    async def _refresh(self, machine: Machine) -> None:
+        asked_at = anyio.current_time()
+        try:
+            with anyio.fail_after(REPORT_TIMEOUT_SECONDS):
+                report = await self._ask_report(machine.address)
+        except (StepError, TimeoutError):
+            # No report, no lease: the old one runs out by itself.
+            return
+        self.table.take_report(machine.machine_id, report, asked_at)
--- /dev/null
+++ b/src/worksramp/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between worksramp nodes."""
--- /dev/null
+++ b/src/worksramp/transport/base.py
@@ -0,0 +1,39 @@
+"""Messages between nodes: best-effort datagrams and calls with one reply.
+
+See Also:
+    worksramp.transport.tcp: the production implementation.
+    worksramp_emulator.simulation.network: the in-process twin.
+"""
+
+from abc import ABC, abstractmethod
+from collections.abc import Awaitable, Callable
+
+DatagramHandler = Callable[[bytes], Awaitable[None]]
+CallHandler = Callable[[bytes], Awaitable[bytes]]
+
+
+class Transport(ABC):
+    """One node's end of the node-to-node network.
+
+    Attributes:
+        address: ``ip:port`` at which other nodes reach this one.
+    """
+
+    address: str
+
+    @abstractmethod
+    async def send(self, address: str, payload: bytes) -> None:
+        """Send a datagram; it may be lost, doubled or overtaken."""
+
+    @abstractmethod
+    async def call(self, address: str, payload: bytes, timeout_seconds: float) -> bytes:
+        """Send a request and return its reply.
+
+        Raises:
+            NotStartedError: no connection could be made, so the peer did not see the request.
+            InterruptedStepError: no reply came in time, or the connection broke.
+        """
+
+    @abstractmethod
+    async def serve(self, on_datagram: DatagramHandler, on_call: CallHandler) -> None:
+        """Handle what arrives until cancelled."""
--- /dev/null
+++ b/src/worksramp/weights/__init__.py
@@ -0,0 +1,1 @@
+"""Weight version rollout across an engine fleet."""
--- /dev/null
+++ b/src/worksramp_emulator/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the systems that worksramp serves, a load tool and a deterministic simulation."""
--- /dev/null
+++ b/src/worksramp_emulator/load.py
@@ -0,0 +1,142 @@
+"""Load tool: live completions and keyed application calls against gateways, with every answer checked."""
+
+import secrets
+import time
+import uuid
+from dataclasses import dataclass, field
+
+import anyio
+import httpx
+import msgspec
+
+from worksramp.gateway.callers import Completion
+from worksramp_emulator.text import whole_completion
+
+TIMEOUT_SECONDS = 60.0
+OK = 200
+MILLISECONDS = 1000
+UUID7_RANDOM_BITS = 74
+
+
+def new_key(unix_ms: int | None = None) -> str:
+    """Return a version 7 UUID; Python 3.11 has none of its own.
+
+    Source: RFC 9562, section 5.7.
+    """
+    at = unix_ms if unix_ms is not None else int(time.time() * MILLISECONDS)
+    random_bits = secrets.randbits(UUID7_RANDOM_BITS)
+    value = at << 80 | 0x7 << 76 | (random_bits >> 62) << 64 | 0b10 << 62 | random_bits & (2**62 - 1)
+    return str(uuid.UUID(int=value))
+
+
+@dataclass(slots=True)
+class LoadRecord:
+    """What a load run saw.
+
+    Attributes:
+        seconds: latency of each whole answer.
+        num_wrong: answers that were not the whole answer to their own request.
+        refusals: error bodies, by their text.
+    """
+
+    seconds: list[float] = field(default_factory=list)
+    num_wrong: int = 0
+    refusals: list[str] = field(default_factory=list)
+
+
+@dataclass(frozen=True, slots=True)
+class LoadTarget:
+    """Where live requests go."""
+
+    addresses: tuple[str, ...]
+    key: str
+    model: str
+    max_tokens: int = 32
+
+
+async def run_completions(target: LoadTarget, num_requests: int, concurrency: int) -> LoadRecord:
+    """Send whole completions, round robin over the gateways, and check each answer's text."""
+    record = LoadRecord()
+    limiter = anyio.CapacityLimiter(concurrency)
+    async with (
+        httpx.AsyncClient(timeout=TIMEOUT_SECONDS, trust_env=False) as client,
+        anyio.create_task_group() as group,
+    ):
+        for number in range(num_requests):
+            await limiter.acquire_on_behalf_of(number)
+            group.start_soon(_one_completion, client, target, number, record, limiter)
+    return record
+
+
+async def _one_completion(
+    client: httpx.AsyncClient,
+    target: LoadTarget,
+    number: int,
+    record: LoadRecord,
+    limiter: anyio.CapacityLimiter,
+) -> None:
+    prompt = f"Live question {number % 16} of a customer"
+    body = {"model": target.model, "prompt": prompt, "max_tokens": target.max_tokens, "seed": number}
+    address = target.addresses[number % len(target.addresses)]
+    headers = {"authorization": f"Bearer {target.key}"}
+    started_at = anyio.current_time()
+    try:
+        response = await client.post(f"http://{address}/v1/completions", json=body, headers=headers)
+    except httpx.HTTPError as error:
+        record.refusals.append(repr(error))
+        return
+    finally:
+        limiter.release_on_behalf_of(number)
+    if response.status_code != OK:
+        record.refusals.append(response.text)
+        return
+    record.seconds.append(anyio.current_time() - started_at)
+    completion = msgspec.json.decode(response.content, type=Completion)
+    if completion.choices[0].text != whole_completion(prompt, number, target.max_tokens):
+        record.num_wrong += 1
+
+
+@dataclass(slots=True)
+class KeyedRecord:
+    """What became of keyed requests: outcome by idempotency key; ``completed`` means status 200."""
+
+    outcomes: dict[str, str] = field(default_factory=dict)
+
+
+async def run_keyed_calls(
+    addresses: tuple[str, ...], key: str, application: str, num_requests: int
+) -> KeyedRecord:
+    """Send each keyed request twice at once, through two gateways."""
+    record = KeyedRecord()
+    async with httpx.AsyncClient(timeout=TIMEOUT_SECONDS, trust_env=False) as client:
+        for number in range(num_requests):
+            idempotency_key = new_key()
+            first = addresses[number % len(addresses)]
+            second = addresses[(number + 1) % len(addresses)]
+            async with anyio.create_task_group() as group:
+                for address in (first, second):
+                    group.start_soon(
+                        _one_keyed_call, client, address, key, application, idempotency_key, record
+                    )
+    return record
+
+
+async def _one_keyed_call(
+    client: httpx.AsyncClient,
+    address: str,
+    key: str,
+    application: str,
+    idempotency_key: str,
+    record: KeyedRecord,
+) -> None:
+    headers = {"authorization": f"Bearer {key}", "idempotency-key": idempotency_key}
+    url = f"http://{address}/v1/applications/{application}/confirm"
+    try:
+        response = await client.post(url, json={"key": idempotency_key}, headers=headers)
+    except httpx.HTTPError as error:
+        record.outcomes.setdefault(idempotency_key, repr(error))
+        return
+    if response.status_code == OK:
+        record.outcomes[idempotency_key] = "completed"
+    else:
+        record.outcomes.setdefault(idempotency_key, response.text)
