--- a/src/worksramp/coordination/ledger_service.py
+++ b/src/worksramp/coordination/ledger_service.py
@@ -147,7 +147,7 @@
     async def _run_behind(self, request: ExecuteOnce, running: _Running) -> None:
         """Run a request, answer whoever waits, then record its end."""
         try:
-            refusal = await self._commit_intent(request, running.digest)
+            refusal = await self._commit_intent(request, running)
             if refusal is not None:
                 running.finish(refusal)
                 return
@@ -165,8 +165,9 @@
             return KeyReused("this idempotency key was used with another request")
         return _outcome_of(row)
 
-    async def _commit_intent(self, request: ExecuteOnce, digest: str) -> ExecutionOutcome | None:
+    async def _commit_intent(self, request: ExecuteOnce, running: _Running) -> ExecutionOutcome | None:
         """Commit the intent; return None if the request may now be dispatched, else its outcome."""
+        digest = running.digest
         intent = encode_entry(Intent(request.key, digest))
         patience = request.deadline_seconds * COMMIT_SHARE_OF_DEADLINE
         stream = self._replica.stream
@@ -175,8 +176,11 @@
         except NotStartedError as error:
             return NotRun(error.step, error.peer, error.reason, RETRY_AFTER_SECONDS)
         if isinstance(verdict, Unresolved):
-            self._background.start_soon(self._withdraw, request.key, verdict)
-            return NotRun("ledger.intent", stream, "the log did not confirm in time", RETRY_AFTER_SECONDS)
+            refusal = NotRun("ledger.intent", stream, "the log did not confirm in time", RETRY_AFTER_SECONDS)
+            # The caller is answered now; the key stays in use here until its intent is withdrawn.
+            running.finish(refusal)
+            await self._withdraw(request.key, verdict)
+            return refusal
         if isinstance(verdict, Accepted):
             return None
         known = self._known_outcome(request.key, digest)
--- a/src/worksramp/coordination/placement.py
+++ b/src/worksramp/coordination/placement.py
@@ -12,6 +12,7 @@
 from worksramp.coordination.fold import Ownership
 
 HANDOVER_HOLD_SECONDS = 5.0
+TAKEOVER_SECONDS = 15.0
 
 
 def rendezvous_order(key: str, members: Iterable[str]) -> list[str]:
@@ -42,14 +43,14 @@
             it is leaving.
         ownership: as folded from the shard's stream; None while the stream is not followed or not
             caught up.
-        not_preferred_seconds: how long another node has been preferred for the shard.
+        misplaced_seconds: how long the shard's living owner has not been the preferred node.
     """
 
     shard: str
     instance_id: str
     eligible: frozenset[str]
     ownership: Ownership | None
-    not_preferred_seconds: float = 0.0
+    misplaced_seconds: float = 0.0
 
 
 def decide_placement(view: PlacementView) -> PlacementAction:
@@ -57,6 +58,8 @@
 
     The preferred node claims when the owner has released, or is not believed alive. A living owner
     that is no longer preferred hands over after a hold time, so that a flapping member moves nothing.
+    If it does not, the preferred node claims all the same: a claim that landed late can make a node the
+    owner of a stream that it no longer follows, and no claim can do harm.
     """
     order = rendezvous_order(view.shard, view.eligible)
     is_preferred = bool(order) and order[0] == view.instance_id
@@ -65,10 +68,11 @@
         return PlacementAction.FOLLOW if is_preferred else PlacementAction.IGNORE
     if ownership.is_held_by(view.instance_id):
         should_hand_over = (
-            not is_preferred and bool(order) and view.not_preferred_seconds >= HANDOVER_HOLD_SECONDS
+            not is_preferred and bool(order) and view.misplaced_seconds >= HANDOVER_HOLD_SECONDS
         )
         return PlacementAction.RELEASE if should_hand_over else PlacementAction.SERVE
     if not is_preferred:
         return PlacementAction.IGNORE
     is_owner_alive = not ownership.is_released and ownership.owner in view.eligible
-    return PlacementAction.FOLLOW if is_owner_alive else PlacementAction.CLAIM
+    is_owner_idle = view.misplaced_seconds >= TAKEOVER_SECONDS
+    return PlacementAction.FOLLOW if is_owner_alive and not is_owner_idle else PlacementAction.CLAIM
--- a/src/worksramp/gateway/backend.py
+++ b/src/worksramp/gateway/backend.py
@@ -38,5 +38,8 @@
     ) -> NodeReply:
         """Have the owner of a shard answer a request."""
 
+    def wall_clock_ms(self) -> int:
+        """Unix time in milliseconds."""
+
     async def stop(self) -> None:
         """Leave in order."""
--- a/src/worksramp/gateway/callers.py
+++ b/src/worksramp/gateway/callers.py
@@ -43,7 +43,6 @@
 KEY_HEADER = "idempotency-key"
 MAX_TOKENS = 131_072
 SAFE_METHODS = ("GET", "HEAD", "OPTIONS")
-MILLISECONDS = 1000
 
 
 class CompletionBody(msgspec.Struct):
@@ -144,7 +143,7 @@
         made_at_ms = key_time_ms(raw_key)
         if made_at_ms is None:
             raise invalid(KEY_HEADER, "must be a UUID of version 7 (RFC 9562)")
-        now_ms = int(time.time() * MILLISECONDS)
+        now_ms = self._backend.wall_clock_ms()
         if made_at_ms > now_ms + MAX_CLOCK_SKEW_MS:
             raise invalid(KEY_HEADER, "its time stamp lies in the future")
         if made_at_ms < now_ms - LEDGER_RETENTION_MS:
--- a/src/worksramp/gateway/live.py
+++ b/src/worksramp/gateway/live.py
@@ -16,12 +16,17 @@
 )
 from worksramp.routing.choice import RouteRequest
 from worksramp.routing.generation import GenerationPolicy, generate_resumable
-from worksramp.routing.limits import ConcurrencyLimit, Rejected, RetryBudget
+from worksramp.routing.limits import (
+    DEFAULT_RETRY_AFTER_SECONDS,
+    ConcurrencyLimit,
+    Rejected,
+    RetryBudget,
+    final_failure,
+)
 from worksramp.routing.pool import WorkerPool
 
 PoolFunction = Callable[[MachineRole, str], WorkerPool | None]
 MAX_APPLICATION_TRIES = 3
-DEFAULT_RETRY_AFTER_SECONDS = 1.0
 
 
 class LiveTraffic:
@@ -81,6 +86,7 @@
         failure: StepError = NotStartedError(
             "route.application", application, "no worker may be used now", DEFAULT_RETRY_AFTER_SECONDS
         )
+        has_begun = False
         for num_tries in range(MAX_APPLICATION_TRIES):
             if num_tries > 0 and not budget.try_spend():
                 break
@@ -92,10 +98,11 @@
                     return await self._platform.applications.call(worker.machine.address, request)
             except StepError as error:
                 failure = error
+                has_begun = has_begun or not isinstance(error, NotStartedError)
                 excluded |= {worker.machine.machine_id}
                 if not is_safe and not isinstance(error, NotStartedError):
                     break
-        raise failure
+        raise final_failure(failure, has_begun)
 
     async def call_safe(
         self,
--- a/src/worksramp/node/node.py
+++ b/src/worksramp/node/node.py
@@ -92,6 +92,7 @@
         self.platform = platform
         self.documents: dict[str, TenantDocument] = {}
         self.is_leaving = False
+        self.wall_clock_ms = wall_clock_ms
         self._transport = transport
         self._rng = random.Random(identity.seed)
         self._num_calls = 0
@@ -106,7 +107,7 @@
         self.membership_service = MembershipService(
             self.membership, transport, self.directory.node_addresses, self._pull_configuration
         )
-        self.planner = ShardPlanner(self, wall_clock_ms)
+        self.planner = ShardPlanner(self)
         self.shards = ShardManager(identity.instance_id, self.membership, self.planner.plans)
         self.live = LiveTraffic(platform, self.directory.pool, self._max_live_concurrency)
         self._sample_budget = RetryBudget()
--- a/src/worksramp/node/plans.py
+++ b/src/worksramp/node/plans.py
@@ -1,6 +1,5 @@
 """Which shards the configuration in force calls for, and how each is followed and served."""
 
-from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
 import anyio.abc
@@ -42,10 +41,9 @@
 class ShardPlanner:
     """Derives shard plans for one node."""
 
-    def __init__(self, node: "Node", wall_clock_ms: Callable[[], int]) -> None:
+    def __init__(self, node: "Node") -> None:
         self.background: anyio.abc.TaskGroup | None = None
         self._node = node
-        self._wall_clock_ms = wall_clock_ms
 
     def plans(self) -> dict[str, ShardPlan]:
         """Return all shards; none before the configuration is known."""
@@ -73,7 +71,7 @@
         def make_service(replica: AnyReplica) -> LedgerService:
             assert self.background is not None
             dispatch = self._node.dispatch_application
-            return LedgerService(replica, dispatch, self.background, self._wall_clock_ms)
+            return LedgerService(replica, dispatch, self.background, self._node.wall_clock_ms)
 
         return ShardPlan(
             shard, "", lambda: self._replica(shard, LedgerState(), LEDGER_SNAPSHOT_EVERY), make_service
--- a/src/worksramp/node/shards.py
+++ b/src/worksramp/node/shards.py
@@ -10,7 +10,12 @@
 
 from worksramp.coordination.membership import Membership
 from worksramp.coordination.peers import COORDINATOR_ROLE
-from worksramp.coordination.placement import PlacementAction, PlacementView, decide_placement
+from worksramp.coordination.placement import (
+    PlacementAction,
+    PlacementView,
+    decide_placement,
+    rendezvous_order,
+)
 from worksramp.coordination.replica import StreamReplica
 from worksramp.coordination.shard import ShardService
 from worksramp.outcomes import StepError
@@ -53,7 +58,7 @@
     scope: anyio.CancelScope
     service: ShardService | None = None
     service_scope: anyio.CancelScope | None = None
-    not_preferred_since: float | None = None
+    misplaced_since: float | None = None
     is_busy: bool = False
 
 
@@ -138,18 +143,15 @@
         eligible = self.membership.eligible(COORDINATOR_ROLE)
         if followed is None or not followed.replica.is_caught_up:
             return PlacementView(shard, self.instance_id, eligible, None)
-        view = PlacementView(shard, self.instance_id, eligible, followed.replica.fold.ownership)
-        is_preferred = (
-            decide_placement(PlacementView(shard, self.instance_id, eligible, None)) is PlacementAction.FOLLOW
-        )
-        now = anyio.current_time()
-        if is_preferred:
-            followed.not_preferred_since = None
-        elif followed.not_preferred_since is None:
-            followed.not_preferred_since = now
-        since = followed.not_preferred_since
-        seconds = now - since if since is not None else 0.0
-        return PlacementView(shard, self.instance_id, eligible, view.ownership, seconds)
+        ownership = followed.replica.fold.ownership
+        preferred = next(iter(rendezvous_order(shard, eligible)), "")
+        if ownership.is_released or ownership.owner == preferred:
+            followed.misplaced_since = None
+        elif followed.misplaced_since is None:
+            followed.misplaced_since = anyio.current_time()
+        since = followed.misplaced_since
+        seconds = anyio.current_time() - since if since is not None else 0.0
+        return PlacementView(shard, self.instance_id, eligible, ownership, seconds)
 
     def _follow(self, plan: ShardPlan, group: anyio.abc.TaskGroup) -> None:
         scope = anyio.CancelScope()
--- a/src/worksramp/routing/generation.py
+++ b/src/worksramp/routing/generation.py
@@ -9,7 +9,7 @@
 from worksramp.outcomes import InterruptedStepError, NotStartedError, StepError
 from worksramp.platform.base import EngineClient, GenerateRequest, GenerationChunk
 from worksramp.routing.choice import PREFIX_CHARACTERS, RouteRequest
-from worksramp.routing.limits import RetryBudget
+from worksramp.routing.limits import DEFAULT_RETRY_AFTER_SECONDS, RetryBudget, final_failure
 from worksramp.routing.pool import WorkerPool
 
 STEP = "route.generate"
@@ -68,7 +68,10 @@
     """
     assembler = StreamAssembler(request.request_id)
     excluded: frozenset[str] = frozenset()
-    failure: StepError = NotStartedError(STEP, pool.zone, "no worker may be used now")
+    failure: StepError = NotStartedError(
+        STEP, pool.zone, "no worker may be used now", DEFAULT_RETRY_AFTER_SECONDS
+    )
+    has_begun = False
     budget.note_request()
     for num_tries in range(policy.max_tries):
         if num_tries > 0 and not budget.try_spend():
@@ -97,7 +100,6 @@
                 raise InterruptedStepError(STEP, address, "the stream ended early")
         except StepError as error:
             failure = error
+            has_begun = has_begun or not isinstance(error, NotStartedError)
             excluded |= {worker.machine.machine_id}
-    if assembler.tokens and isinstance(failure, NotStartedError):
-        raise InterruptedStepError(failure.step, failure.peer, failure.reason)
-    raise failure
+    raise final_failure(failure, has_begun)
--- a/src/worksramp/routing/limits.py
+++ b/src/worksramp/routing/limits.py
@@ -9,6 +9,9 @@
 
 from dataclasses import dataclass
 
+from worksramp.outcomes import InterruptedStepError, NotStartedError, StepError
+
+DEFAULT_RETRY_AFTER_SECONDS = 1.0
 MIN_RETRY_AFTER_SECONDS = 0.5
 MAX_RETRY_AFTER_SECONDS = 30.0
 RETRY_BUDGET_SHARE = 0.1
@@ -95,6 +98,22 @@
         self._mean_seconds += SMOOTHING * (seconds - self._mean_seconds)
 
 
+def final_failure(last: StepError, has_begun: bool) -> StepError:
+    """Return the error that a request ends with after its last try.
+
+    Args:
+        last: how the last try ended.
+        has_begun: whether any try may have begun; then the request must not be called "not run", even
+            if the last back end refused it.
+    """
+    if not isinstance(last, NotStartedError):
+        return last
+    if has_begun:
+        return InterruptedStepError(last.step, last.peer, f"an earlier try may have begun; {last.reason}")
+    seconds = last.retry_after_seconds or DEFAULT_RETRY_AFTER_SECONDS
+    return NotStartedError(last.step, last.peer, last.reason, seconds, last.is_leaving)
+
+
 def clamp_retry_after(seconds: float) -> float:
     """Return a time to come back within sensible bounds, in seconds."""
     return min(MAX_RETRY_AFTER_SECONDS, max(MIN_RETRY_AFTER_SECONDS, seconds))
--- a/src/worksramp/transport/base.py
+++ b/src/worksramp/transport/base.py
@@ -6,10 +6,11 @@
 """
 
 from abc import ABC, abstractmethod
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable, Coroutine
+from typing import Any
 
-DatagramHandler = Callable[[bytes], Awaitable[None]]
-CallHandler = Callable[[bytes], Awaitable[bytes]]
+DatagramHandler = Callable[[bytes], Coroutine[Any, Any, None]]
+CallHandler = Callable[[bytes], Coroutine[Any, Any, bytes]]
 
 
 class Transport(ABC):
--- a/src/worksramp_emulator/engine.py
+++ b/src/worksramp_emulator/engine.py
@@ -78,11 +78,10 @@
     """Counts for experiments."""
 
     num_accepted: int = 0
-    num_accepted_while_leaving: int = 0
     num_prefix_hits: int = 0
     num_tokens: int = 0
     busy_seconds: float = 0.0
-    accepted_at: list[float] = field(default_factory=list)
+    arrived_at: list[float] = field(default_factory=list)
 
 
 class EngineCore:
@@ -125,6 +124,7 @@
     async def generate(self, request: GenerateRequest) -> AsyncGenerator[GenerationChunk, None]:
         """Stream a completion; closing the stream cancels it."""
         await self.faults.before("engine.generate", self.engine_id)
+        self.statistics.arrived_at.append(anyio.current_time())
         self._refuse_if_unable()
         sequence, receiver = self._enqueue(request)
         try:
@@ -196,7 +196,6 @@
         sequence = _Sequence(request, length, len(request.prefix_tokens), sender)
         heapq.heappush(self._waiting, (request.priority, next(self._arrivals), sequence))
         self.statistics.num_accepted += 1
-        self.statistics.accepted_at.append(anyio.current_time())
         self._work.set()
         self._work = anyio.Event()
         return sequence, receiver
--- a/src/worksramp_emulator/platform.py
+++ b/src/worksramp_emulator/platform.py
@@ -147,7 +147,7 @@
     is_leaving: bool = False
     faults: Faults = field(default_factory=Faults)
     runs: Counter[str] = field(default_factory=Counter)
-    accepted_at: list[float] = field(default_factory=list)
+    arrived_at: list[float] = field(default_factory=list)
     num_running: int = 0
     _report: WorkerReport | None = None
     _reported_at: float = -math.inf
@@ -155,12 +155,12 @@
     async def call(self, request: ApplicationRequest) -> ApplicationReply:
         """Run a request and echo it."""
         await self.faults.before("application.call", self.worker_id)
+        self.arrived_at.append(anyio.current_time())
         if self.is_leaving:
             raise NotStartedError(
                 "application.call", self.worker_id, "leaving", REFUSAL_RETRY_SECONDS, is_leaving=True
             )
         self.runs[request.request_id] += 1
-        self.accepted_at.append(anyio.current_time())
         self.num_running += 1
         try:
             await anyio.sleep(self.service_seconds)
--- /dev/null
+++ b/src/worksramp_emulator/simulation/__init__.py
@@ -0,0 +1,1 @@
+"""Deterministic simulation: production nodes on a virtual clock, with seeded faults and checked histories."""
--- /dev/null
+++ b/src/worksramp_emulator/simulation/world.py
@@ -0,0 +1,413 @@
+"""A simulated deployment: nodes, back ends, platform, callers and trainers on one virtual clock."""
+
+import hashlib
+import random
+import uuid
+from dataclasses import dataclass, field
+
+import anyio
+import anyio.abc
+import httpx
+import msgspec
+
+from worksramp.gateway.app import make_application
+from worksramp.node.node import Identity, Node
+from worksramp.outcomes import NotStartedError, StepError
+from worksramp.platform.base import GenerateRequest, Machine, MachineRole
+from worksramp.rollout.document import JobRequest, JobSpec, Preference, TenantDocument, group_name
+from worksramp.rollout.prompts import prompt_set_name, write_prompts
+from worksramp.settings import ApiKey, KeyRole, NodeSettings, PlatformSettings
+from worksramp_emulator.engine import EngineCore, EngineProfile
+from worksramp_emulator.platform import ApplicationCore, LogCore, MachineListCore, WeightStoreCore
+from worksramp_emulator.simulation.clients import PlatformCores
+from worksramp_emulator.simulation.history import (
+    BatchTaken,
+    History,
+    KeyedAnswered,
+    LiveAnswered,
+    NodeStopped,
+    PublishAnswered,
+    RevisionAccepted,
+    RevisionSeen,
+)
+from worksramp_emulator.simulation.host import Host
+from worksramp_emulator.simulation.network import NetworkProfile, SimulatedNetwork, SimulatedTransport
+from worksramp_emulator.text import whole_completion
+from worksramp_emulator.trainer import FetchResult, TrainerRecord, decode_batch, run_trainer
+
+TENANT = "zwrotka"
+MODEL = "refund-writer"
+FLEET = "refund-model"
+APPLICATION = "refund-app"
+JOB = "explanations"
+ZONES = ("wro-a", "wro-b", "lodz-c")
+OPERATOR_KEY, CALLER_KEY, TRAINER_KEY = "operator-key", "caller-key", "trainer-key"
+OBSERVE_SECONDS = 0.25
+START_TIMEOUT_SECONDS = 60.0
+CLIENT_TIMEOUT_SECONDS = 40.0
+LIVE_MAX_TOKENS = 48
+EPOCH_MS = 1_790_000_000_000
+OK = 200
+MILLISECONDS = 1000
+
+
+@dataclass(frozen=True, slots=True)
+class WorldSpec:
+    """Size and speed of a simulated deployment.
+
+    Attributes:
+        machine_list_lag_seconds: lag of the machine list.
+        num_steps: batches that the trainer takes.
+    """
+
+    num_nodes: int = 3
+    num_engines: int = 5
+    num_applications: int = 3
+    machine_list_lag_seconds: float = 5.0
+    num_steps: int = 5
+    train_seconds: float = 3.0
+    max_staleness: int = 2
+    samples_per_step: int = 8
+    group_size: int = 2
+    max_tokens: int = 128
+    preference: Preference = Preference.IDLE_TIME
+    engine: EngineProfile = field(default_factory=lambda: EngineProfile(load_seconds=0.6))
+    network: NetworkProfile = field(default_factory=NetworkProfile)
+
+
+@dataclass(slots=True)
+class Slot:
+    """A place where a node runs, again and again under new instance ids."""
+
+    index: int
+    generation: int = 0
+    host: Host | None = None
+    node: Node | None = None
+    scope: anyio.CancelScope | None = None
+
+    @property
+    def name(self) -> str:
+        """Name on the network."""
+        return f"node-{self.index}"
+
+
+class World:
+    """One simulated deployment; its group runs everything that is not inside a node."""
+
+    def __init__(self, spec: WorldSpec, seed: int, group: anyio.abc.TaskGroup) -> None:
+        self.spec = spec
+        self.rng = random.Random(seed)
+        self.group = group
+        self.history = History()
+        self.network = SimulatedNetwork(group, self.rng, spec.network)
+        machine_list = MachineListCore(spec.machine_list_lag_seconds)
+        self.cores = PlatformCores(LogCore(), WeightStoreCore(), machine_list)
+        self.slots = [Slot(index) for index in range(spec.num_nodes)]
+        self.trainer = TrainerRecord()
+        self.trainer_version = 1
+        self.is_trainer_done = False
+        self.client = Host("client", "outside")
+        self._num_keys = 0
+        self._add_workers()
+
+    async def start(self) -> None:
+        """Start everything and publish the first configuration."""
+        for engine in self.cores.engines.values():
+            self.group.start_soon(engine.run)
+        for slot in self.slots:
+            self.start_node(slot)
+        prompts = tuple(f"Prompt number {number} of the job" for number in range(8))
+        name = prompt_set_name(TENANT, prompts)
+        await write_prompts(self.cores.log, name, prompts)
+        self.cores.store.publish(MODEL, 1)
+        await self._publish_first(self.document(name, len(prompts)))
+        self.group.start_soon(self._observe)
+
+    def start_node(self, slot: Slot) -> None:
+        """Start a node with an empty memory."""
+        slot.generation += 1
+        host = Host(slot.name, ZONES[slot.index % len(ZONES)])
+        slot.host = host
+        slot.scope = anyio.CancelScope()
+        identity = Identity(f"{slot.name}.{slot.generation}", self.rng.randrange(2**32))
+        transport = SimulatedTransport(self.peer_address(slot.index), host, self.network)
+        platform = self.cores.clients_for(host, self.network, self.group, self.rng)
+        slot.node = Node(self._settings(slot), identity, platform, transport, self.wall_clock_ms)
+        self.group.start_soon(self._run_node, slot, host, slot.node, slot.scope)
+
+    def kill(self, slot: Slot) -> None:
+        """End a node at once; nothing it holds survives."""
+        if slot.host is not None and slot.scope is not None:
+            slot.host.die()
+            slot.scope.cancel()
+
+    async def stop(self, slot: Slot) -> None:
+        """Stop a node in order and wait for its end."""
+        node, host = slot.node, slot.host
+        assert node is not None
+        assert host is not None
+        await host.serve("node.stop", node.stop)
+        self.history.add(NodeStopped(anyio.current_time(), slot.name, node.num_in_flight))
+
+    def live_slots(self) -> list[Slot]:
+        """Return the slots whose node runs and is ready."""
+        return [
+            slot
+            for slot in self.slots
+            if slot.host is not None and slot.host.is_alive and slot.node is not None and slot.node.is_ready
+        ]
+
+    def owner_of(self, shard: str) -> Slot | None:
+        """Return the slot that believes it owns a shard and serves it."""
+        for slot in self.slots:
+            is_up = slot.host is not None and slot.host.is_alive
+            if is_up and slot.node is not None and shard in slot.node.shards.services():
+                return slot
+        return None
+
+    async def run_trainer(self) -> None:
+        """Run the job's trainer for its steps."""
+        spec = self.spec
+        await run_trainer(
+            self._fetch, self._publish_weights, self.trainer, spec.num_steps, spec.train_seconds
+        )
+        self.is_trainer_done = True
+
+    async def ask_live(self, number: int, deadline_seconds: float = 30.0) -> None:
+        """Ask one live completion of some gateway and note how it ended."""
+        prompt, seed = f"Live question {number % 5}", number
+        request = GenerateRequest(f"live-{number}", MODEL, prompt, LIVE_MAX_TOKENS, seed)
+        asked_at = anyio.current_time()
+        text, outcome = "", "completed"
+        error: StepError | None = None
+        slot = self._pick_slot()
+        try:
+            if slot is None or slot.host is None or slot.node is None:
+                raise NotStartedError("client.connect", "gateways", "none is up", 1.0)
+            node = slot.node
+            text = await slot.host.serve(
+                "client.complete", lambda: self._complete(node, request, deadline_seconds)
+            )
+        except NotStartedError as failure:
+            outcome, error = "not_run", failure
+        except StepError as failure:
+            outcome, error = "unknown", failure
+        is_whole = text == whole_completion(prompt, seed, LIVE_MAX_TOKENS)
+        self._note_live(request.request_id, outcome, is_whole, asked_at, deadline_seconds, error)
+
+    async def ask_keyed(self, key: str, body: bytes, deadline_seconds: float = 10.0) -> str:
+        """Submit a keyed request to some gateway; return and note the outcome."""
+        headers = {"idempotency-key": key, "x-deadline-seconds": str(deadline_seconds)}
+        path = f"/v1/applications/{APPLICATION}/confirm"
+        response = await self.http(self._pick_slot(), "POST", path, CALLER_KEY, body, headers)
+        outcome, reason, retry_after, is_own = "unknown", "no answer", 0.0, True
+        if response is not None and response.status_code == OK:
+            outcome, reason = "completed", ""
+            is_own = response.content == b'{"echo":' + body + b"}"
+        elif response is not None:
+            error = response.json()
+            outcome, reason = error["outcome"], error["reason"]
+            retry_after = error.get("retry_after_seconds", 0.0)
+        self.history.add(KeyedAnswered(anyio.current_time(), key, outcome, is_own, retry_after, reason))
+        return outcome
+
+    async def publish(self, change_id: str, expected_revision: int, document: TenantDocument) -> str:
+        """Publish a configuration change through some gateway; return and note the outcome."""
+        change = {
+            "change_id": change_id,
+            "expected_revision": expected_revision,
+            "document": document,
+        }
+        body = msgspec.json.encode(change)
+        response = await self.http(self._pick_slot(), "PUT", "/v1/configuration", OPERATOR_KEY, body)
+        now = anyio.current_time()
+        if response is not None and response.status_code == OK:
+            self.history.add(RevisionAccepted(now, change_id, response.json()["revision"]))
+            return "accepted"
+        outcome = response.json()["outcome"] if response is not None else "unknown"
+        self.history.add(PublishAnswered(now, change_id, outcome))
+        return str(outcome)
+
+    async def http(
+        self,
+        slot: Slot | None,
+        method: str,
+        path: str,
+        key: str,
+        body: bytes = b"",
+        headers: dict[str, str] | None = None,
+    ) -> httpx.Response | None:
+        """Make one HTTP request of a node, inside that node's process; None if no answer came."""
+        if slot is None or slot.host is None or slot.node is None or slot.host.group is None:
+            return None
+        node, group = slot.node, slot.host.group
+        all_headers = {"authorization": f"Bearer {key}"} | (headers or {})
+
+        async def ask() -> httpx.Response:
+            transport = httpx.ASGITransport(app=make_application(node, group))
+            async with httpx.AsyncClient(transport=transport, base_url="http://node") as client:
+                return await client.request(method, path, content=body, headers=all_headers)
+
+        host = slot.host
+        with anyio.move_on_after(CLIENT_TIMEOUT_SECONDS):
+            try:
+                return await host.serve("client.http", ask)
+            except StepError:
+                return None
+        return None
+
+    def new_key(self) -> str:
+        """Return a fresh idempotency key, a version 7 UUID of the virtual wall clock."""
+        self._num_keys += 1
+        value = self.wall_clock_ms() << 80 | 0x7 << 76 | 0b10 << 62 | self._num_keys
+        return str(uuid.UUID(int=value))
+
+    def wall_clock_ms(self) -> int:
+        """Return Unix time on the virtual clock."""
+        return EPOCH_MS + int(anyio.current_time() * MILLISECONDS)
+
+    def document(self, prompt_set: str, num_prompts: int) -> TenantDocument:
+        """Return the tenant's configuration."""
+        spec = JobSpec(
+            model=MODEL,
+            prompt_set=prompt_set,
+            num_prompts=num_prompts,
+            scorer="scorer",
+            max_staleness=self.spec.max_staleness,
+            group_size=self.spec.group_size,
+            samples_per_step=self.spec.samples_per_step,
+            max_tokens=self.spec.max_tokens,
+            max_in_flight=2 * self.spec.samples_per_step,
+        )
+        return TenantDocument(
+            models={MODEL: FLEET},
+            templates={"writer": spec},
+            jobs={JOB: JobRequest("writer")},
+            preference=self.spec.preference,
+        )
+
+    def peer_address(self, index: int) -> str:
+        """Return a node's address for other nodes."""
+        return f"10.0.0.{index + 1}:7000"
+
+    async def _run_node(self, slot: Slot, host: Host, node: Node, scope: anyio.CancelScope) -> None:
+        with scope:
+            async with anyio.create_task_group() as group:
+                host.group = group
+                await node.run()
+                group.cancel_scope.cancel()
+        host.die()
+
+    async def _publish_first(self, document: TenantDocument) -> None:
+        with anyio.fail_after(START_TIMEOUT_SECONDS):
+            while len(self.live_slots()) < len(self.slots):
+                await anyio.sleep(0.1)
+            while await self.publish("first", 0, document) != "accepted":
+                await anyio.sleep(0.5)
+
+    async def _complete(self, node: Node, request: GenerateRequest, deadline_seconds: float) -> str:
+        fleet = group_name(TENANT, FLEET)
+        chunks = node.live.complete(TENANT, fleet, request, deadline_seconds)
+        return "".join([token async for chunk in chunks for token in chunk.tokens])
+
+    def _note_live(
+        self,
+        request: str,
+        outcome: str,
+        is_whole: bool,
+        asked_at: float,
+        deadline_seconds: float,
+        error: StepError | None,
+    ) -> None:
+        now = anyio.current_time()
+        retry_after = error.retry_after_seconds if isinstance(error, NotStartedError) else None
+        self.history.add(
+            LiveAnswered(
+                at=now,
+                request=request,
+                outcome=outcome,
+                is_whole=is_whole,
+                seconds=now - asked_at,
+                deadline_seconds=deadline_seconds,
+                retry_after_seconds=retry_after or 0.0,
+                reason=str(error) if error else "",
+            )
+        )
+
+    async def _fetch(self, cursor: int, weight_version: int) -> FetchResult:
+        path = f"/v1/jobs/{JOB}/batches/{cursor}?trainer_version={weight_version}"
+        response = await self.http(self._pick_slot(), "GET", path, TRAINER_KEY)
+        if response is None or response.status_code != OK:
+            return FetchResult(None)
+        batch = decode_batch(response.content)
+        indices = tuple(sample.index for sample in batch.samples)
+        taken = BatchTaken(anyio.current_time(), JOB, cursor, batch.attempt, weight_version, indices)
+        self.history.add(taken)
+        return FetchResult(batch)
+
+    async def _publish_weights(self, weight_version: int) -> None:
+        self.trainer_version = weight_version
+        self.cores.store.publish(MODEL, weight_version)
+
+    async def _observe(self) -> None:
+        """Note every node's revision in force, whenever it changes."""
+        seen: dict[str, tuple[str, int]] = {}
+        while True:
+            for slot in self.live_slots():
+                assert slot.node is not None
+                instance = slot.node.identity.instance_id
+                revision = slot.node.configuration.fold.revision_of(TENANT)
+                if seen.get(slot.name) != (instance, revision):
+                    seen[slot.name] = (instance, revision)
+                    now = anyio.current_time()
+                    self.history.add(RevisionSeen(now, slot.name, instance, revision))
+            await anyio.sleep(OBSERVE_SECONDS)
+
+    def _pick_slot(self) -> Slot | None:
+        """Return a gateway as a load balancer in front would: one that says it is ready."""
+        slots = self.live_slots()
+        return self.rng.choice(slots) if slots else None
+
+    def _add_workers(self) -> None:
+        machines = [
+            Machine(f"node-{index}", MachineRole.NODE, self.peer_address(index), ZONES[index % len(ZONES)])
+            for index in range(self.spec.num_nodes)
+        ]
+        for index in range(self.spec.num_engines):
+            core = EngineCore(f"engine-{index}", self.spec.engine)
+            self.cores.engines[self._add_host(core.engine_id, index)] = core
+            machines.append(self._machine(core.engine_id, MachineRole.ENGINE, FLEET, index))
+        for index in range(self.spec.num_applications):
+            worker = ApplicationCore(f"application-{index}", service_seconds=0.05)
+            self.cores.applications[self._add_host(worker.worker_id, index)] = worker
+            machines.append(self._machine(worker.worker_id, MachineRole.APPLICATION, APPLICATION, index))
+        self.cores.machine_list.set_machines(tuple(machines))
+
+    def _add_host(self, name: str, index: int) -> str:
+        address = f"{name}:8000"
+        self.cores.worker_hosts[address] = Host(name, ZONES[index % len(ZONES)])
+        return address
+
+    def _machine(self, name: str, role: MachineRole, group: str, index: int) -> Machine:
+        zone = ZONES[index % len(ZONES)]
+        return Machine(name, role, f"{name}:8000", zone, group_name(TENANT, group))
+
+    def _settings(self, slot: Slot) -> NodeSettings:
+        return NodeSettings(
+            node_id=slot.name,
+            zone=ZONES[slot.index % len(ZONES)],
+            listen=f"10.0.0.{slot.index + 1}:8000",
+            peer_listen=self.peer_address(slot.index),
+            platform=PlatformSettings("10.0.1.1:1", "10.0.1.2:1", "10.0.1.3:1"),
+            keys=(
+                _api_key(CALLER_KEY, KeyRole.CALLER),
+                _api_key(TRAINER_KEY, KeyRole.TRAINER),
+                _api_key(OPERATOR_KEY, KeyRole.OPERATOR),
+            ),
+            num_ledger_shards=4,
+            drain_seconds=60.0,
+        )
+
+
+def _api_key(key: str, role: KeyRole) -> ApiKey:
+    return ApiKey(TENANT, role, hashlib.sha256(key.encode()).hexdigest())
--- /dev/null
+++ b/tests/unit/test_placement.py
@@ -0,0 +1,42 @@
+"""When a node follows, claims, serves and hands over a shard."""
+
+from worksramp.coordination.fold import Ownership
+from worksramp.coordination.placement import (
+    HANDOVER_HOLD_SECONDS,
+    TAKEOVER_SECONDS,
+    PlacementAction,
+    PlacementView,
+    decide_placement,
+    rendezvous_order,
+)
+
+MEMBERS = frozenset({"a", "b", "c"})
+PREFERRED, SECOND, _ = rendezvous_order("shard", MEMBERS)
+
+
+def view(instance: str, ownership: Ownership | None, seconds: float = 0.0) -> PlacementView:
+    return PlacementView("shard", instance, MEMBERS, ownership, seconds)
+
+
+def test_the_preferred_node_claims_from_a_dead_owner() -> None:
+    assert decide_placement(view(PREFERRED, Ownership(3, "gone", False))) is PlacementAction.CLAIM
+
+
+def test_the_preferred_node_claims_what_was_released() -> None:
+    assert decide_placement(view(PREFERRED, Ownership(3, SECOND, True))) is PlacementAction.CLAIM
+
+
+def test_the_preferred_node_waits_for_a_living_owner() -> None:
+    assert decide_placement(view(PREFERRED, Ownership(3, SECOND, False))) is PlacementAction.FOLLOW
+
+
+def test_an_owner_that_never_hands_over_is_taken_over_from() -> None:
+    # A claim that landed late can make a node the owner of a stream that it no longer follows.
+    ownership = Ownership(3, SECOND, False)
+    assert decide_placement(view(PREFERRED, ownership, TAKEOVER_SECONDS)) is PlacementAction.CLAIM
+
+
+def test_an_owner_that_is_not_preferred_hands_over_after_a_hold() -> None:
+    ownership = Ownership(3, SECOND, False)
+    assert decide_placement(view(SECOND, ownership)) is PlacementAction.SERVE
+    assert decide_placement(view(SECOND, ownership, HANDOVER_HOLD_SECONDS)) is PlacementAction.RELEASE
