Scenarios with their mechanism on and off, and three more faults mended

Cause: a checker that cannot fail proves nothing.

An acknowledgement now counts only if its subject is the member probed. - With 40 nodes joining at once some never learned of each other: a probe from an unknown sender was dropped unanswered, and news stops travelling once its transmissions are used up. Probes now carry the sender's address; an unknown sender is answered and asked for its table. - A fetch held up on its way could make the owner plan a batch anew that the trainer had taken in. Found by reading, after the exactly-once checker was made to compare the last batch too. Requests with older weights than have asked before are refused; the trainer drops a batch checked for other weights.

--- a/src/worksramp/coordination/ledger_service.py
+++ b/src/worksramp/coordination/ledger_service.py
@@ -51,7 +51,7 @@
 
 
 @dataclass(slots=True)
-class _Running:
+class Running:
     """A request from its intent until its end is recorded."""
 
     digest: str
@@ -59,6 +59,7 @@
     outcome: ExecutionOutcome | None = None
 
     def finish(self, outcome: ExecutionOutcome) -> None:
+        """Give every waiting caller this outcome."""
         self.outcome = outcome
         self.finished.set()
 
@@ -92,7 +93,7 @@
         self._dispatch = dispatch
         self._background = background
         self._wall_clock_ms = wall_clock_ms
-        self._running: dict[str, _Running] = {}
+        self._running: dict[str, Running] = {}
         self._is_draining = False
 
     async def run(self) -> None:
@@ -135,7 +136,7 @@
             known = self._known_outcome(request.key, digest)
             if known is not None:
                 return known
-            running = _Running(digest)
+            running = Running(digest)
             self._running[request.key] = running
             self._background.start_soon(self._run_behind, request, running)
         with anyio.move_on_after(request.deadline_seconds):
@@ -144,7 +145,7 @@
             return running.outcome
         return OutcomeUnknown("ledger.execute", request.application, "the deadline passed while it ran")
 
-    async def _run_behind(self, request: ExecuteOnce, running: _Running) -> None:
+    async def _run_behind(self, request: ExecuteOnce, running: Running) -> None:
         """Run a request, answer whoever waits, then record its end."""
         try:
             refusal = await self._commit_intent(request, running)
@@ -165,7 +166,7 @@
             return KeyReused("this idempotency key was used with another request")
         return _outcome_of(row)
 
-    async def _commit_intent(self, request: ExecuteOnce, running: _Running) -> ExecutionOutcome | None:
+    async def _commit_intent(self, request: ExecuteOnce, running: Running) -> ExecutionOutcome | None:
         """Commit the intent; return None if the request may now be dispatched, else its outcome."""
         digest = running.digest
         intent = encode_entry(Intent(request.key, digest))
--- a/src/worksramp/coordination/membership.py
+++ b/src/worksramp/coordination/membership.py
@@ -55,13 +55,13 @@
 
 
 class Probe(msgspec.Struct, frozen=True, array_like=True, tag=1):
-    """Are you there? ``on_behalf_of`` is set when another member asked for it."""
+    """Are you there? The sender's address stands in it, for receivers that do not know the sender."""
 
     sequence: int
     sender: str
+    sender_address: str
     configuration_offset: int
     updates: tuple[Member, ...] = ()
-    on_behalf_of: str = ""
 
 
 class Acknowledgement(msgspec.Struct, frozen=True, array_like=True, tag=2):
@@ -220,8 +220,6 @@
     def _on_probe(self, probe: Probe, now: float) -> list[Instruction]:
         instructions = self._merge(probe.updates, now)
         sender = self._members.get(probe.sender)
-        if sender is None:
-            return instructions
         reply = Acknowledgement(
             sequence=probe.sequence,
             sender=self.self_member.instance_id,
@@ -229,8 +227,11 @@
             configuration_offset=self.configuration_offset,
             updates=self._pick_updates(sender),
         )
-        instructions.append(Send(sender.address, reply))
-        return instructions + self._compare_offset(probe.configuration_offset, sender.address)
+        instructions.append(Send(probe.sender_address, reply))
+        if sender is None:
+            # Its news has not come this far; its table has it, and whatever else was missed.
+            instructions.append(Send(probe.sender_address, Join(self.self_member)))
+        return instructions + self._compare_offset(probe.configuration_offset, probe.sender_address)
 
     def _on_acknowledgement(self, ack: Acknowledgement, now: float) -> list[Instruction]:
         instructions = self._merge(ack.updates, now)
@@ -240,7 +241,7 @@
             if asker is not None:
                 forwarded = msgspec.structs.replace(ack, sequence=relay[1], updates=())
                 instructions.append(Send(asker.address, forwarded))
-        if self._outstanding is not None and self._outstanding.sequence == ack.sequence:
+        if self._is_awaited(ack):
             self._outstanding = None
         subject = self._members.get(ack.subject)
         if subject is None:
@@ -249,6 +250,14 @@
             self._suspect_since.pop(subject.instance_id, None)
         return instructions + self._compare_offset(ack.configuration_offset, subject.address)
 
+    def _is_awaited(self, ack: Acknowledgement) -> bool:
+        """Return whether this answers the current probe.
+
+        The subject counts: a restarted process answers at its former self's address.
+        """
+        waiting = self._outstanding
+        return waiting is not None and (waiting.sequence, waiting.target) == (ack.sequence, ack.subject)
+
     def _on_indirect_probe(self, request: IndirectProbe, now: float) -> list[Instruction]:
         instructions = self._merge(request.updates, now)
         send = self._probe(request.target_address)
@@ -328,6 +337,7 @@
         probe = Probe(
             sequence=self._sequence,
             sender=self.self_member.instance_id,
+            sender_address=self.self_member.address,
             configuration_offset=self.configuration_offset,
             updates=self._pick_updates(receiver),
         )
--- a/src/worksramp/node/plans.py
+++ b/src/worksramp/node/plans.py
@@ -89,7 +89,6 @@
                 self._node.run_sample,
                 platform.log,
                 platform.scorers,
-                platform.weight_store,
             )
 
         fingerprint = msgspec.json.encode((spec, fleet, document.preference)).decode()
--- a/src/worksramp/rollout/job_service.py
+++ b/src/worksramp/rollout/job_service.py
@@ -18,7 +18,7 @@
 from worksramp.coordination.replica import StreamReplica
 from worksramp.coordination.shard import ShardService
 from worksramp.outcomes import NotStartedError, StepError
-from worksramp.platform.base import LogClient, ScorerClient, WeightStoreClient
+from worksramp.platform.base import LogClient, ScorerClient
 from worksramp.rollout.document import JobSpec, Preference
 from worksramp.rollout.job import BatchCommitted, JobState, SampleFinished, Segment
 from worksramp.rollout.planner import BatchPlan, NotEnoughSamples, is_batch_fresh, plan_batch, plan_sampling
@@ -37,7 +37,6 @@
 
 PLAN_PERIOD_SECONDS = 0.1
 FAILED_SAMPLE_PAUSE_SECONDS = 0.3
-VERSION_POLL_SECONDS = 1.0
 COMMIT_PATIENCE_SECONDS = 5.0
 RETRY_AFTER_SECONDS = 0.5
 SEED_MODULUS = 2**31
@@ -91,7 +90,6 @@
         run_sample: RunSampleFunction,
         log: LogClient,
         scorers: ScorerClient,
-        weight_store: WeightStoreClient,
     ) -> None:
         self.spec = spec
         self._fleet = fleet
@@ -100,11 +98,10 @@
         self._run_sample = run_sample
         self._log = log
         self._scorers = scorers
-        self._weight_store = weight_store
         self._prompts: tuple[str, ...] = ()
         self._in_flight: set[int] = set()
         self._bodies: dict[int, DeliveredSample] = {}
-        self._trainer_version = 0
+        self._asked_version = 0
         self._num_failed = 0
         self._batch_lock = anyio.Lock()
         self._request_numbers = itertools.count(1)
@@ -113,12 +110,17 @@
         """Read the prompts, then keep samples in flight until cancelled."""
         self._prompts = await read_prompts(self._log, self.spec.prompt_set, self.spec.num_prompts)
         async with anyio.create_task_group() as group:
-            group.start_soon(self._follow_versions)
             while True:
                 self._forget_taken_bodies()
                 self._start_samples(group)
                 await anyio.sleep(PLAN_PERIOD_SECONDS)
 
+    @property
+    def trainer_version(self) -> int:
+        """Newest weights that the trainer is known to hold, from its requests to any owner."""
+        batch = self._replica.state.batch
+        return max(self._asked_version, batch.trainer_version if batch else 0)
+
     async def handle(self, request: NodeRequest) -> NodeReply:
         """Answer `FetchBatch`."""
         if not isinstance(request, FetchBatch):
@@ -137,22 +139,11 @@
             "num_failed_tries": self._num_failed,
         }
 
-    async def _follow_versions(self) -> None:
-        """Learn of new weights, so that staleness is judged by the newest version known."""
-        while True:
-            try:
-                newest = await self._weight_store.newest_version(self.spec.model)
-                self._trainer_version = max(self._trainer_version, newest)
-            except StepError:
-                # The trainer's own requests also say which version it holds.
-                pass
-            await anyio.sleep(VERSION_POLL_SECONDS)
-
     def _start_samples(self, group: anyio.abc.TaskGroup) -> None:
         if not self._replica.is_owner or not self._replica.is_log_reachable:
             return
         state = self._replica.state
-        chosen = plan_sampling(state, self.spec, self.preference, self._in_flight, self._trainer_version)
+        chosen = plan_sampling(state, self.spec, self.preference, self._in_flight, self.trainer_version)
         for index in chosen:
             self._in_flight.add(index)
             group.start_soon(self._make_sample, index)
@@ -179,7 +170,7 @@
             prompt=prompt,
             seed=(index * spec.samples_per_step + attempt) % SEED_MODULUS,
             max_tokens=spec.max_tokens,
-            min_weight_version=max(0, self._trainer_version - spec.max_staleness),
+            min_weight_version=max(0, self.trainer_version - spec.max_staleness),
         )
         reply = await self._run_sample(request)
         reward = await self._scorers.score(spec.scorer, prompt, "".join(reply.tokens))
@@ -196,13 +187,16 @@
 
     async def _fetch_batch(self, request: FetchBatch) -> NodeReply:
         state = self._replica.state
-        self._trainer_version = max(self._trainer_version, request.trainer_version)
+        if request.trainer_version < self.trainer_version:
+            # A request that was under way while the trainer moved on; planning batches for it could
+            # replace a batch that the trainer has taken in by now.
+            return BatchRefused("trainer_version", f"version {self.trainer_version} has asked before")
+        self._asked_version = request.trainer_version
         last_cursor = state.batch.cursor if state.batch else 0
         if request.cursor not in (last_cursor, last_cursor + 1) or request.cursor < 1:
             return BatchRefused("cursor", f"batch {last_cursor} was the last; ask for it or the next")
         is_again = request.cursor == last_cursor
-        # The trainer may have published since it asked: the newest version known decides.
-        trainer_version = self._trainer_version
+        trainer_version = request.trainer_version
         if is_again and is_batch_fresh(state, self.spec, trainer_version):
             return await self._send_batch(trainer_version)
         plan = plan_batch(state, self.spec, trainer_version, is_replan=is_again)
@@ -231,7 +225,7 @@
         return await self._send_batch(trainer_version)
 
     async def _send_batch(self, trainer_version: int) -> NodeReply:
-        """Return the committed batch, checked once more against the newest version known."""
+        """Return the committed batch, checked once more against the version that asked last."""
         state = self._replica.state
         batch = state.batch
         assert batch is not None
@@ -239,9 +233,9 @@
             samples = [await self._body(index) for index in batch.indices]
         except StepError:
             return BatchNotReady(0, RETRY_AFTER_SECONDS)
-        if not self._replica.is_owner or not is_batch_fresh(state, self.spec, self._trainer_version):
+        if not self._replica.is_owner or not is_batch_fresh(state, self.spec, self.trainer_version):
             return BatchNotReady(0, RETRY_AFTER_SECONDS)
-        delivered = DeliveredBatch(batch.cursor, batch.attempt, self._trainer_version, tuple(samples))
+        delivered = DeliveredBatch(batch.cursor, batch.attempt, self.trainer_version, tuple(samples))
         return BatchReply(msgspec.json.encode(delivered))
 
     async def _body(self, index: int) -> DeliveredSample:
--- a/src/worksramp_emulator/engine.py
+++ b/src/worksramp_emulator/engine.py
@@ -94,6 +94,7 @@
         self.is_leaving = False
         self.is_loading = False
         self.fail_next_load = False
+        self.are_reports_lost = False
         self.highest_epoch = 0
         self.faults = Faults()
         self.token_runs: list[TokenRun] = []
@@ -141,6 +142,8 @@
     async def report(self) -> WorkerReport:
         """Return the load report, as old as the lag allows."""
         await self.faults.before("engine.report", self.engine_id)
+        if self.are_reports_lost:
+            raise InterruptedStepError("engine.report", self.engine_id, "report lost")
         now = anyio.current_time()
         if self._report is None or now - self._reported_at >= self.profile.report_lag_seconds:
             self._report = self._report_now()
--- a/src/worksramp_emulator/simulation/checkers.py
+++ b/src/worksramp_emulator/simulation/checkers.py
@@ -76,8 +76,7 @@
             committed[fold.state.batch.cursor] = fold.state.batch.indices
     for batch in world.trainer.batches:
         indices = tuple(sample.index for sample in batch.samples)
-        is_acknowledged = fold.state.batch is not None and batch.cursor < fold.state.batch.cursor
-        if is_acknowledged and committed.get(batch.cursor) != indices:
+        if committed.get(batch.cursor) != indices:
             found.append(Violation("exactly_once", f"batch {batch.cursor} differs from the log's"))
     cursors = [batch.cursor for batch in world.trainer.batches]
     if cursors != list(range(1, len(cursors) + 1)):
--- a/src/worksramp_emulator/simulation/clients.py
+++ b/src/worksramp_emulator/simulation/clients.py
@@ -6,6 +6,7 @@
 
 import anyio
 import anyio.abc
+import msgspec
 
 from worksramp.outcomes import InterruptedStepError, NotStartedError, StepError
 from worksramp.platform.base import (
@@ -109,6 +110,7 @@
         self._hosts = hosts
         self._source = source
         self._network = network
+        self._last_foreign: GenerationChunk | None = None
 
     async def generate(self, address: str, request: GenerateRequest) -> AsyncGenerator[GenerationChunk, None]:
         """See `EngineClient.generate`."""
@@ -121,11 +123,25 @@
         async with aclosing(self._cores[address].generate(request)) as chunks:
             async for chunk in chunks:
                 await self._source.gate()
+                for stray in self._strays(chunk):
+                    yield stray
                 if self._network.is_cut(target.name, self._source.name):
                     await anyio.sleep(CALL_TIMEOUT_SECONDS)
                     raise InterruptedStepError("engine.generate", address, "no chunk came")
                 yield chunk
 
+    def _strays(self, chunk: GenerationChunk) -> list[GenerationChunk]:
+        """Return chunks that arrive out of place before this one: the last one again, or a foreign one."""
+        share = self._network.profile.chunk_trouble_share
+        drawn = self._network.draw_chunk_trouble()
+        strays: list[GenerationChunk] = []
+        if drawn < share and self._last_foreign is not None:
+            strays.append(self._last_foreign)
+        elif drawn < 2 * share:
+            strays.append(msgspec.structs.replace(chunk, is_final=False))
+        self._last_foreign = chunk
+        return strays
+
     async def report(self, address: str) -> WorkerReport:
         """See `EngineClient.report`."""
         return await self._network.exchange(
--- a/src/worksramp_emulator/simulation/faults.py
+++ b/src/worksramp_emulator/simulation/faults.py
@@ -39,6 +39,13 @@
     direction: str
 
 
+class CutLog(msgspec.Struct, frozen=True, tag="cut_log"):
+    """A node is cut off from the log."""
+
+    slot: int
+    seconds: float
+
+
 class CutZone(msgspec.Struct, frozen=True, tag="cut_zone"):
     """A zone is cut off from everything outside it."""
 
@@ -91,6 +98,13 @@
     engine: int
 
 
+class LoseReports(msgspec.Struct, frozen=True, tag="lose_reports"):
+    """Load reports of an engine are lost."""
+
+    engine: int
+    seconds: float
+
+
 class LeaveApplication(msgspec.Struct, frozen=True, tag="leave_application"):
     """An application worker begins to leave."""
 
@@ -115,6 +129,7 @@
     | FreezeNode
     | StopNode
     | CutNode
+    | CutLog
     | CutZone
     | LogOutage
     | SlowLog
@@ -123,6 +138,7 @@
     | CrashEngine
     | FailLoad
     | LeaveEngine
+    | LoseReports
     | LeaveApplication
     | LoseApplicationReplies
     | RaceOperators
@@ -147,6 +163,7 @@
         StopNode(max(0, slot)),
         CutNode(max(0, slot), rng.uniform(1.0, 15.0), rng.choice(["in", "out", "both"])),
         CutZone(rng.choice(["wro-a", "wro-b", "lodz-c"]), rng.uniform(1.0, 15.0)),
+        CutLog(max(0, slot), rng.uniform(1.0, 20.0)),
         LogOutage(rng.uniform(1.0, 20.0)),
         SlowLog(rng.uniform(1.0, 15.0), rng.uniform(0.2, 4.0)),
         LoseLogReplies(rng.randrange(1, 12)),
@@ -154,6 +171,7 @@
         CrashEngine(engine, rng.uniform(1.0, 10.0)),
         FailLoad(engine),
         LeaveEngine(engine),
+        LoseReports(engine, rng.uniform(1.0, 20.0)),
         LeaveApplication(worker),
         LoseApplicationReplies(worker, rng.randrange(1, 6)),
         RaceOperators(rng.randrange(2, 4)),
@@ -164,23 +182,20 @@
 def draw_schedule(rng: random.Random, num_faults: int, seconds: float, world: World) -> list[ScheduledFault]:
     """Draw faults at random times."""
     spec = world.spec
-    return sorted(
-        (
-            ScheduledFault(
-                rng.uniform(0.0, seconds),
-                draw_fault(rng, spec.num_nodes, spec.num_engines, spec.num_applications),
-            )
-            for _ in range(num_faults)
-        ),
-        key=lambda item: item.at,
-    )
+    return [
+        ScheduledFault(
+            rng.uniform(0.0, seconds),
+            draw_fault(rng, spec.num_nodes, spec.num_engines, spec.num_applications),
+        )
+        for _ in range(num_faults)
+    ]
 
 
 async def run_schedule(world: World, schedule: list[ScheduledFault]) -> None:
     """Apply every fault at its time and return once all are over."""
     started_at = anyio.current_time()
     async with anyio.create_task_group() as group:
-        for item in schedule:
+        for item in sorted(schedule, key=lambda scheduled: scheduled.at):
             await anyio.sleep(max(0.0, started_at + item.at - anyio.current_time()))
             group.start_soon(apply_fault, world, item.fault)
 
@@ -195,11 +210,11 @@
             await _freeze(_slot(world, fault.slot), fault.seconds)
         case StopNode():
             await _stop(world, world.slots[fault.slot])
-        case CutNode() | CutZone():
+        case CutNode() | CutLog() | CutZone():
             await _cut(world, _cut_pairs(world, fault), fault.seconds)
         case LogOutage() | SlowLog() | LoseLogReplies() | DelayAppends():
             await _trouble_log(world, fault)
-        case CrashEngine() | FailLoad() | LeaveEngine():
+        case CrashEngine() | FailLoad() | LeaveEngine() | LoseReports():
             await _trouble_engine(world, fault)
         case LeaveApplication() | LoseApplicationReplies():
             _trouble_application(world, fault)
@@ -243,7 +258,10 @@
         world.start_node(slot)
 
 
-def _cut_pairs(world: World, fault: CutNode | CutZone) -> list[tuple[str, str]]:
+def _cut_pairs(world: World, fault: CutNode | CutLog | CutZone) -> list[tuple[str, str]]:
+    if isinstance(fault, CutLog):
+        own, log = world.slots[fault.slot].name, world.cores.log_host.name
+        return [(own, log), (log, own)]
     names = [slot.name for slot in world.slots]
     if isinstance(fault, CutNode):
         own = world.slots[fault.slot].name
@@ -287,7 +305,7 @@
             world.cores.late_append_share = 0.0
 
 
-async def _trouble_engine(world: World, fault: CrashEngine | FailLoad | LeaveEngine) -> None:
+async def _trouble_engine(world: World, fault: CrashEngine | FailLoad | LeaveEngine | LoseReports) -> None:
     engines = list(world.cores.engines.values())
     engine = engines[fault.engine]
     match fault:
@@ -299,6 +317,10 @@
             engine.restart(max(1, engine.weight_version - 1))
         case FailLoad():
             engine.fail_next_load = True
+        case LoseReports():
+            engine.are_reports_lost = True
+            await anyio.sleep(fault.seconds)
+            engine.are_reports_lost = False
         case LeaveEngine():
             if sum(1 for item in engines if not item.is_leaving) <= MIN_LIVE_WORKERS or engine.is_leaving:
                 return
--- a/src/worksramp_emulator/simulation/host.py
+++ b/src/worksramp_emulator/simulation/host.py
@@ -26,6 +26,8 @@
         self.name = name
         self.zone = zone
         self.is_alive = True
+        self.num_serving = 0
+        self.num_cut = 0
         self.group: anyio.abc.TaskGroup | None = None
         self._died = anyio.Event()
         self._thawed: anyio.Event | None = None
@@ -47,6 +49,8 @@
 
     def die(self) -> None:
         """Note that the process is gone; whoever waits for it learns at once."""
+        if self.is_alive:
+            self.num_cut = self.num_serving
         self.is_alive = False
         self._died.set()
         self.thaw()
@@ -86,7 +90,11 @@
                 done.set()
 
             group.start_soon(watch)
-            await done.wait()
+            self.num_serving += 1
+            try:
+                await done.wait()
+            finally:
+                self.num_serving -= 1
             group.cancel_scope.cancel()
         if errors:
             raise errors[0]
--- /dev/null
+++ b/src/worksramp_emulator/simulation/mutations.py
@@ -0,0 +1,169 @@
+"""Switches each mechanism off, to show that its checker then fails.
+
+A checker that cannot fail proves nothing. Every mutation here is a mistake that one might make.
+"""
+
+from collections.abc import Callable, Iterator
+from contextlib import AbstractContextManager, contextmanager
+from unittest import mock
+
+import anyio
+import msgspec
+
+from worksramp.coordination import replication
+from worksramp.coordination.configuration_service import ConfigurationService
+from worksramp.coordination.ledger_service import LedgerService, Running
+from worksramp.node.node import Node
+from worksramp.outcomes import ExecutionOutcome, NotRun, OutcomeUnknown
+from worksramp.platform.base import GenerationChunk
+from worksramp.rollout.job import Batch, FinishedSample, JobState, SampleFinished
+from worksramp.rollout.job_service import DeliveredBatch, JobService
+from worksramp.rollout.planner import BatchPlan
+from worksramp.rollout.sampler import SegmentRecorder
+from worksramp.routing import generation
+from worksramp.routing.generation import StreamAssembler
+from worksramp.routing.leases import Worker
+from worksramp.transport.messages import BatchReply, ExecuteOnce, FetchBatch, NodeReply
+
+
+@contextmanager
+def _one_version_a_stream() -> Iterator[None]:
+    """Name the weights that a stream began with for all of it."""
+    take = SegmentRecorder.take
+
+    def take_wrongly(self: SegmentRecorder, chunk: GenerationChunk) -> None:
+        segments = self.sample().segments
+        version = segments[0].weight_version if segments else chunk.weight_version
+        take(self, msgspec.structs.replace(chunk, weight_version=version))
+
+    with mock.patch.object(SegmentRecorder, "take", take_wrongly):
+        yield
+
+
+@contextmanager
+def _age_by_newest_segment() -> Iterator[None]:
+    """Judge a sample's age by its newest weights instead of its oldest."""
+    apply_sample = JobState._apply_sample
+
+    def apply_wrongly(self: JobState, offset: int, sample: SampleFinished) -> str | None:
+        reason = apply_sample(self, offset, sample)
+        if reason is None:
+            held = self.finished[sample.index]
+            self.finished[sample.index] = FinishedSample(
+                held.attempt, held.offset, held.newest_version, held.newest_version, held.num_tokens
+            )
+        return reason
+
+    with mock.patch.object(JobState, "_apply_sample", apply_wrongly):
+        yield
+
+
+@contextmanager
+def _send_before_read_back() -> Iterator[None]:
+    """Send a batch as soon as it is planned, before its commit has been read back."""
+    commit = JobService._commit_batch
+
+    async def send_at_once(
+        self: JobService, request: FetchBatch, plan: BatchPlan, trainer_version: int, is_again: bool
+    ) -> NodeReply:
+        async with anyio.create_task_group() as group:
+            group.start_soon(commit, self, request, plan, trainer_version, is_again)
+            batch = Batch(request.cursor, 1, trainer_version, plan.indices)
+            samples = tuple([await self._body(index) for index in batch.indices])
+            delivered = DeliveredBatch(batch.cursor, batch.attempt, trainer_version, samples)
+            group.cancel_scope.cancel()
+        return BatchReply(msgspec.json.encode(delivered))
+
+    with mock.patch.object(JobService, "_commit_batch", send_at_once):
+        yield
+
+
+@contextmanager
+def _no_stream_checks() -> Iterator[None]:
+    """Join whatever chunks arrive, in the order they arrive."""
+
+    def take(self: StreamAssembler, chunk: GenerationChunk, peer: str) -> GenerationChunk:
+        self.tokens.extend(chunk.tokens)
+        return chunk
+
+    with mock.patch.object(StreamAssembler, "take", take):
+        yield
+
+
+@contextmanager
+def _last_error_decides() -> Iterator[None]:
+    """Say "not run" whenever the last try was refused, whatever became of earlier ones."""
+    with mock.patch.object(generation, "final_failure", lambda last, has_begun: last):
+        yield
+
+
+@contextmanager
+def _lost_reply_is_not_run() -> Iterator[None]:
+    """Say "not run" of a keyed request whose back end did not answer."""
+    execute = LedgerService.execute
+
+    async def execute_wrongly(self: LedgerService, request: ExecuteOnce) -> ExecutionOutcome:
+        outcome = await execute(self, request)
+        if isinstance(outcome, OutcomeUnknown):
+            return NotRun(outcome.step, outcome.peer, outcome.reason, 1.0)
+        return outcome
+
+    with mock.patch.object(LedgerService, "execute", execute_wrongly):
+        yield
+
+
+@contextmanager
+def _dispatch_before_read_back() -> Iterator[None]:
+    """Dispatch a keyed request whatever the verdict about its intent."""
+    commit = LedgerService._commit_intent
+
+    async def commit_wrongly(
+        self: LedgerService, request: ExecuteOnce, running: Running
+    ) -> ExecutionOutcome | None:
+        refusal = await commit(self, request, running)
+        return refusal if running.outcome is not None else None
+
+    with mock.patch.object(LedgerService, "_commit_intent", commit_wrongly):
+        yield
+
+
+@contextmanager
+def _endless_leases() -> Iterator[None]:
+    """Use workers however old their last report is."""
+    with mock.patch.object(Worker, "expires_at", float("inf")):
+        yield
+
+
+@contextmanager
+def _stop_without_waiting() -> Iterator[None]:
+    """End a planned stop while requests are in flight."""
+    with mock.patch.object(Node, "num_in_flight", 0):
+        yield
+
+
+@contextmanager
+def _apply_without_copies() -> Iterator[None]:
+    """Put a configuration record in force as soon as one node holds it."""
+
+    async def push_nothing(self: ConfigurationService) -> None:
+        return
+
+    with (
+        mock.patch.object(replication, "NUM_COPIES", 1),
+        mock.patch.object(ConfigurationService, "_push_to_some", push_nothing),
+    ):
+        yield
+
+
+MUTATIONS: dict[str, Callable[[], AbstractContextManager[None]]] = {
+    "one_version_a_stream": _one_version_a_stream,
+    "age_by_newest_segment": _age_by_newest_segment,
+    "send_before_read_back": _send_before_read_back,
+    "no_stream_checks": _no_stream_checks,
+    "last_error_decides": _last_error_decides,
+    "lost_reply_is_not_run": _lost_reply_is_not_run,
+    "dispatch_before_read_back": _dispatch_before_read_back,
+    "endless_leases": _endless_leases,
+    "stop_without_waiting": _stop_without_waiting,
+    "apply_without_copies": _apply_without_copies,
+}
--- a/src/worksramp_emulator/simulation/world.py
+++ b/src/worksramp_emulator/simulation/world.py
@@ -42,7 +42,8 @@
 JOB = "explanations"
 ZONES = ("wro-a", "wro-b", "lodz-c")
 OPERATOR_KEY, CALLER_KEY, TRAINER_KEY = "operator-key", "caller-key", "trainer-key"
-OBSERVE_SECONDS = 0.25
+OBSERVE_SECONDS = 0.05
+STOP_POLL_SECONDS = 0.1
 START_TIMEOUT_SECONDS = 60.0
 CLIENT_TIMEOUT_SECONDS = 40.0
 LIVE_MAX_TOKENS = 48
@@ -146,8 +147,11 @@
         node, host = slot.node, slot.host
         assert node is not None
         assert host is not None
-        await host.serve("node.stop", node.stop)
-        self.history.add(NodeStopped(anyio.current_time(), slot.name, node.num_in_flight))
+        assert host.group is not None
+        host.group.start_soon(node.stop)
+        while host.is_alive:
+            await anyio.sleep(STOP_POLL_SECONDS)
+        self.history.add(NodeStopped(anyio.current_time(), slot.name, host.num_cut))
 
     def live_slots(self) -> list[Slot]:
         """Return the slots whose node runs and is ready."""
--- a/src/worksramp_emulator/trainer.py
+++ b/src/worksramp_emulator/trainer.py
@@ -83,8 +83,10 @@
 async def _fetch_until_ready(fetch: Fetch, cursor: int, weight_version: int) -> DeliveredBatch:
     while True:
         result = await fetch(cursor, weight_version)
-        if result.batch is not None and result.batch.cursor == cursor:
-            return result.batch
+        batch = result.batch
+        # A batch checked against other weights than the trainer holds now is not taken in.
+        if batch is not None and (batch.cursor, batch.trainer_version) == (cursor, weight_version):
+            return batch
         await anyio.sleep(result.retry_after_seconds)
 
 
