--- a/src/worksramp/node/machines.py
+++ b/src/worksramp/node/machines.py
@@ -65,7 +65,7 @@
             return
         for role, report in self._report_functions().items():
             groups = {machine.group for machine in self.machines if machine.role is role}
-            for name in groups:
+            for name in sorted(groups):
                 self._update_pool(role, name, report)
 
     def _report_functions(self) -> dict[MachineRole, Callable[[str], Awaitable[WorkerReport]]]:
@@ -85,6 +85,6 @@
         members = tuple(
             machine for machine in self.machines if machine.role is role and machine.group == name
         )
-        pool.set_machines(members)
+        pool.set_machines(members, max(1, len(self.node_addresses())))
         if is_new and self._group is not None:
             self._group.start_soon(pool.run)
--- a/src/worksramp/node/plans.py
+++ b/src/worksramp/node/plans.py
@@ -86,12 +86,15 @@
                 spec,
                 fleet,
                 document.preference,
+                document.live_reserved_share,
                 self._node.run_sample,
                 platform.log,
                 platform.scorers,
             )
 
-        fingerprint = msgspec.json.encode((spec, fleet, document.preference)).decode()
+        fingerprint = msgspec.json.encode(
+            (spec, fleet, document.preference, document.live_reserved_share)
+        ).decode()
         return ShardPlan(
             shard, fingerprint, lambda: self._replica(shard, JobState(), JOB_SNAPSHOT_EVERY), make_service
         )
--- a/src/worksramp/rollout/document.py
+++ b/src/worksramp/rollout/document.py
@@ -64,6 +64,8 @@
         models: the fleet of engines that serves each model.
         max_live_concurrency: ceiling of the adaptive limit on live requests, a node.
         preference: which figure the sample plan favours.
+        live_reserved_share: share of each engine's slots that rollout leaves to live requests; the
+            larger, the less rollout slows live answers.
         num_fleet_cells: into how many cells each fleet is split for weight rollout.
     """
 
@@ -72,6 +74,7 @@
     jobs: dict[str, JobRequest] = {}
     preference: Preference = Preference.IDLE_TIME
     max_live_concurrency: int = 256
+    live_reserved_share: float = 0.5
     num_fleet_cells: int = 1
 
 
@@ -108,6 +111,8 @@
             return Invalid(name, "a name has 1 to 63 of a-z, 0-9 and -, not beginning with -")
     if document.max_live_concurrency < 1:
         return Invalid("max_live_concurrency", "must be at least 1")
+    if not 0.0 <= document.live_reserved_share < 1.0:
+        return Invalid("live_reserved_share", "must be at least 0 and below 1")
     if document.num_fleet_cells < 1:
         return Invalid("num_fleet_cells", "must be at least 1")
     for name in document.jobs:
--- a/src/worksramp/rollout/job_service.py
+++ b/src/worksramp/rollout/job_service.py
@@ -78,6 +78,7 @@
         spec: the job's settings.
         fleet: group of engines that serve its model.
         preference: which figure the sample plan favours.
+        live_reserved_share: share of each engine's slots left to live requests.
         run_sample: generates one completion on some node.
     """
 
@@ -87,12 +88,14 @@
         spec: JobSpec,
         fleet: str,
         preference: Preference,
+        live_reserved_share: float,
         run_sample: RunSampleFunction,
         log: LogClient,
         scorers: ScorerClient,
     ) -> None:
         self.spec = spec
         self._fleet = fleet
+        self._live_reserved_share = live_reserved_share
         self.preference = preference
         self._replica = replica
         self._run_sample = run_sample
@@ -171,6 +174,7 @@
             seed=(index * spec.samples_per_step + attempt) % SEED_MODULUS,
             max_tokens=spec.max_tokens,
             min_weight_version=max(0, self.trainer_version - spec.max_staleness),
+            live_reserved_share=self._live_reserved_share,
         )
         reply = await self._run_sample(request)
         reward = await self._scorers.score(spec.scorer, prompt, "".join(reply.tokens))
--- a/src/worksramp/rollout/sampler.py
+++ b/src/worksramp/rollout/sampler.py
@@ -10,7 +10,6 @@
 from worksramp.transport.messages import CallFailed, RunSample, SampleReply, SegmentReply
 
 ROLLOUT_PRIORITY = 10
-LIVE_RESERVED_SHARE = 0.25
 
 
 class SegmentRecorder:
@@ -43,7 +42,7 @@
 ) -> SampleReply | CallFailed:
     """Generate one completion, resumed on another engine when one breaks."""
     policy = GenerationPolicy(
-        reserved_share=LIVE_RESERVED_SHARE, min_weight_version=request.min_weight_version
+        reserved_share=request.live_reserved_share, min_weight_version=request.min_weight_version
     )
     generate = GenerateRequest(
         request_id=request.request_id,
--- a/src/worksramp/routing/choice.py
+++ b/src/worksramp/routing/choice.py
@@ -63,7 +63,9 @@
     if request.reserved_share == 0.0:
         return True
     limit = math.floor(worker.report.max_num_seqs * (1.0 - request.reserved_share))
-    return worker.estimated_load < limit
+    # Reports lag, and other nodes fill the same worker in the meantime: each keeps to its own part.
+    own_limit = math.ceil(limit / worker.num_sharers)
+    return worker.estimated_load < limit and worker.num_in_flight < own_limit
 
 
 def _by_affinity(allowed: tuple[Worker, ...], request: RouteRequest) -> Worker | None:
--- a/src/worksramp/routing/leases.py
+++ b/src/worksramp/routing/leases.py
@@ -21,18 +21,23 @@
 
     Attributes:
         asked_at: when the report was asked for, on this node's clock.
-        num_sent_since: requests this node has sent that the report cannot know of yet.
+        num_in_flight: this node's own requests there now.
+        num_in_flight_at_report: the same when the report was asked for.
+        num_sharers: how many nodes are expected to use this worker, this one included.
     """
 
     machine: Machine
     report: WorkerReport
     asked_at: float
     num_in_flight: int = 0
+    num_in_flight_at_report: int = 0
+    num_sharers: int = 1
 
     @property
     def estimated_load(self) -> int:
-        """Requests on the worker: the lagged report, or what this node itself has there if more."""
-        return max(self.report.num_running + self.report.num_queued, self.num_in_flight)
+        """Requests on the worker: the lagged report and what this node has sent since."""
+        num_sent_since = max(0, self.num_in_flight - self.num_in_flight_at_report)
+        return self.report.num_running + self.report.num_queued + num_sent_since
 
     @property
     def has_room(self) -> bool:
@@ -45,12 +50,22 @@
         return self.asked_at - self.report.age_seconds + LEASE_SECONDS
 
 
+@dataclass(frozen=True, slots=True)
+class _HeldReport:
+    """A report, and what this node had in flight on the worker when it was taken."""
+
+    report: WorkerReport
+    asked_at: float
+    num_in_flight: int
+
+
 class WorkerTable:
     """The workers of one group (a fleet or an application) as one node knows them."""
 
     def __init__(self) -> None:
         self._machines: dict[str, Machine] = {}
-        self._reports: dict[str, tuple[WorkerReport, float]] = {}
+        self.num_sharers = 1
+        self._reports: dict[str, _HeldReport] = {}
         self._in_flight: dict[str, int] = {}
         self._leaving: set[tuple[str, int]] = set()
 
@@ -70,9 +85,9 @@
     def take_report(self, machine_id: str, report: WorkerReport, asked_at: float) -> None:
         """Take a load report; an older one than is held is ignored."""
         held = self._reports.get(machine_id)
-        if held is not None and held[1] - held[0].age_seconds > asked_at - report.age_seconds:
+        if held is not None and held.asked_at - held.report.age_seconds > asked_at - report.age_seconds:
             return
-        self._reports[machine_id] = (report, asked_at)
+        self._reports[machine_id] = _HeldReport(report, asked_at, self._in_flight.get(machine_id, 0))
         if report.is_leaving:
             self.mark_leaving(machine_id)
 
@@ -104,12 +119,19 @@
 
     def reported_versions(self) -> dict[str, int]:
         """Return the weight version that each worker last reported, by machine id."""
-        return {key: report.weight_version for key, (report, _) in self._reports.items()}
+        return {key: held.report.weight_version for key, held in self._reports.items()}
 
     def _workers(self) -> list[Worker]:
         return [
-            Worker(self._machines[key], report, asked_at, self._in_flight.get(key, 0))
-            for key, (report, asked_at) in self._reports.items()
+            Worker(
+                self._machines[key],
+                held.report,
+                held.asked_at,
+                self._in_flight.get(key, 0),
+                held.num_in_flight,
+                self.num_sharers,
+            )
+            for key, held in self._reports.items()
             if key in self._machines
         ]
 
--- a/src/worksramp/routing/pool.py
+++ b/src/worksramp/routing/pool.py
@@ -1,5 +1,6 @@
 """Shell around a worker table: keep leases fresh by asking for load reports, and pick workers."""
 
+import math
 import random
 from collections.abc import Awaitable, Callable, Iterator
 from contextlib import contextmanager
@@ -39,9 +40,15 @@
         self._subset_size = subset_size
         self._rng = rng
 
-    def set_machines(self, machines: tuple[Machine, ...]) -> None:
-        """Take the machine list's view of the group, reduced to this node's subset."""
-        self.table.set_machines(choose_subset(self._node_id, machines, self._subset_size))
+    def set_machines(self, machines: tuple[Machine, ...], num_nodes: int = 1) -> None:
+        """Take the machine list's view of the group, reduced to this node's subset.
+
+        Args:
+            num_nodes: how many nodes choose subsets of the same group.
+        """
+        chosen = choose_subset(self._node_id, machines, self._subset_size)
+        self.table.set_machines(chosen)
+        self.table.num_sharers = max(1, math.ceil(num_nodes * len(chosen) / max(1, len(machines))))
 
     def choose(self, request: RouteRequest) -> Worker | None:
         """Return a worker that may be given this request now, if there is one."""
--- a/src/worksramp/transport/messages.py
+++ b/src/worksramp/transport/messages.py
@@ -41,6 +41,7 @@
     seed: int
     max_tokens: int
     min_weight_version: int
+    live_reserved_share: float
 
 
 class PushConfiguration(msgspec.Struct, frozen=True, tag="push_configuration"):
--- a/src/worksramp_emulator/simulation/runner.py
+++ b/src/worksramp_emulator/simulation/runner.py
@@ -95,9 +95,14 @@
 
 
 async def _one_keyed(world: World, number: int) -> None:
-    """Submit a keyed request, again while it is said not to have run, and once more to be sure."""
+    """Submit a keyed request, again while it is said not to have run, and once more to be sure.
+
+    Every third goes to two gateways at once.
+    """
     key = world.new_key()
     body = b"%d" % number
+    if number % 3 == 1:
+        world.group.start_soon(world.ask_keyed, key, body)
     for _ in range(MAX_KEYED_TRIES):
         outcome = await world.ask_keyed(key, body)
         if outcome != "not_run":
--- a/src/worksramp_emulator/simulation/scenarios.py
+++ b/src/worksramp_emulator/simulation/scenarios.py
@@ -117,13 +117,13 @@
     """One node alone reads a change; then the log goes down and that node loses its memory."""
     first, second, third = rng.sample(range(3), 3)
     at = rng.uniform(2.0, 10.0)
-    is_published = at + rng.uniform(0.05, 1.5)
+    is_published = at + rng.uniform(0.02, 0.3)
     return [
         ScheduledFault(at - 1.0, CutLog(second, 25.0)),
         ScheduledFault(at - 1.0, CutLog(third, 25.0)),
-        ScheduledFault(at, RaceOperators(2)),
+        ScheduledFault(at, RaceOperators(4)),
         ScheduledFault(is_published, LogOutage(20.0)),
-        ScheduledFault(is_published + rng.uniform(0.0, 1.0), KillNode(first, 0.2)),
+        ScheduledFault(is_published + rng.uniform(0.0, 0.2), KillNode(first, 0.2)),
     ]
 
 
