Benchmark tool: hollow nodes and engines, slopes of the deciders, requests, samples, cells and nodes

Cause: docs/CAPACITY.md needs measured slopes, and nothing measured them. Hollow nodes run the production node with its production transport, many to a process, beside real processes on loopback; the platform clients count their requests and bytes; an unchanged machine list is no longer sent again (ETag).

--- /dev/null
+++ b/scripts/bench.py
@@ -0,0 +1,343 @@
+"""Measures what worksramp costs, and the slopes from which docs/CAPACITY.md is worked out.
+
+Real nodes are separate processes; hollow ones share a process. All traffic stays on loopback, and every
+part is bounded in time and count. Raw figures go to docs/results/.
+"""
+
+import json
+import platform
+import statistics
+import sys
+import time
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from datetime import date
+from pathlib import Path
+
+import anyio
+import httpx
+import msgspec
+from bench_deciders import measure_deciders
+from deployment import API_KEYS, ROOT, Deployment, free_addresses, load_example
+from prometheus_client.parser import text_string_to_metric_families
+
+from worksramp.platform.base import Machine, MachineRole
+from worksramp.settings import NodeSettings, PlatformSettings, Role
+from worksramp_emulator.load import LoadTarget, run_completions, run_keyed_calls
+
+RUN_DIRECTORY = Path("run/bench")
+NUM_HOLLOW_NODES = (0, 60, 120, 240)
+NUM_ENGINES = (8, 48, 96)
+SETTLE_SECONDS = 12.0
+WINDOW_SECONDS = 15.0
+NUM_CHANGES = 10
+LIVE_TOKENS = (16, 128)
+NUM_LIVE = 300
+NUM_KEYED = 150
+PERCENT = 100.0
+MIB = 1024.0 * 1024.0
+PLATFORM_BYTES = "worksramp_platform_bytes_total"
+Figures = dict[str, float]
+
+
+async def read_metrics(address: str) -> Figures:
+    """Return a node's counters: labels are joined to the name."""
+    async with httpx.AsyncClient(trust_env=False) as client:
+        text = (await client.get(f"http://{address}/metrics")).text
+    figures: Figures = {}
+    for family in text_string_to_metric_families(text):
+        for sample in family.samples:
+            label = ".".join(sample.labels.values())
+            figures[f"{sample.name}.{label}".rstrip(".")] = sample.value
+    return figures
+
+
+async def measure_window(addresses: list[str], seconds: float) -> list[Figures]:
+    """Return each node's counters a second over a window, and its memory."""
+    before = [await read_metrics(address) for address in addresses]
+    started_at = time.monotonic()
+    await anyio.sleep(seconds)
+    after = [await read_metrics(address) for address in addresses]
+    elapsed = time.monotonic() - started_at
+    rates = []
+    for first, second in zip(before, after, strict=True):
+        rate = {key: (value - first.get(key, 0.0)) / elapsed for key, value in second.items()}
+        rate["memory_mib"] = second["process_resident_memory_bytes"] / MIB
+        rates.append(rate)
+    return rates
+
+
+def total(figures: Figures, prefix: str) -> float:
+    """Return the sum over all labels of a counter."""
+    return sum(value for key, value in figures.items() if key.startswith(prefix))
+
+
+def summarize(rates: list[Figures]) -> Figures:
+    """Return control costs a node: the mean over nodes, and the spread of CPU."""
+    cpu = [rate["process_cpu_seconds_total"] * PERCENT for rate in rates]
+
+    def mean(prefix: str) -> float:
+        return statistics.mean(total(rate, prefix) for rate in rates)
+
+    return {
+        "cpu_percent": statistics.mean(cpu),
+        "cpu_percent_min": min(cpu),
+        "cpu_percent_max": max(cpu),
+        "memory_mib": statistics.mean(rate["memory_mib"] for rate in rates),
+        "node_bytes_per_second": mean("worksramp_transport_sent_bytes_total"),
+        "platform_bytes_per_second": mean(PLATFORM_BYTES),
+        "platform_requests_per_second": mean("worksramp_platform_requests_total"),
+    }
+
+
+def hollow_settings(deployment: Deployment, count: int) -> list[NodeSettings]:
+    """Return settings of hollow nodes; they are gateways only, so that real nodes own all shards."""
+    peers = free_addresses(count)
+    return [
+        NodeSettings(
+            node_id=f"hollow-{index}",
+            zone=deployment.example.zones[index % len(deployment.example.zones)],
+            listen="127.0.0.1:1",
+            peer_listen=peer,
+            platform=PlatformSettings(deployment.log, deployment.platform, deployment.platform),
+            roles=(Role.GATEWAY,),
+        )
+        for index, peer in enumerate(peers)
+    ]
+
+
+@asynccontextmanager
+async def running(num_hollow: int = 0, num_engines: int | None = None) -> AsyncIterator[Deployment]:
+    """Run the Zwrotka example with more nodes or engines, and stop it afterwards."""
+    example = load_example("zwrotka")
+    if num_engines is not None:
+        example = msgspec.structs.replace(example, num_engines=num_engines)
+    deployment = Deployment.plan("zwrotka", RUN_DIRECTORY, example)
+    deployment.are_engines_hollow = num_engines is not None
+    settings = hollow_settings(deployment, num_hollow)
+    deployment.extra_machines = tuple(
+        Machine(item.node_id, MachineRole.NODE, item.peer_listen, item.zone) for item in settings
+    )
+    try:
+        deployment.start_platform()
+        if settings:
+            file = deployment.directory / "hollow.json"
+            file.write_bytes(msgspec.json.encode(settings))
+            deployment.emulator("hollow", "hollow_nodes", settings_file=str(file))
+        for index in range(len(deployment.nodes)):
+            deployment.start_node(index)
+        for index in range(len(deployment.nodes)):
+            await deployment.wait_ready(index)
+        await wait_members(deployment, len(deployment.nodes) + num_hollow)
+        yield deployment
+    finally:
+        deployment.stop()
+
+
+async def wait_members(deployment: Deployment, count: int) -> None:
+    """Wait until the first node knows so many live members."""
+    with anyio.fail_after(90.0):
+        while True:
+            status = await read_status(deployment.nodes[0])
+            if sum(1 for member in status["members"] if member["status"] == "alive") >= count:
+                return
+            await anyio.sleep(0.5)
+
+
+async def read_status(address: str) -> dict[str, list[dict[str, str]]]:
+    """Return a node's status."""
+    headers = {"authorization": f"Bearer {API_KEYS['operator']}"}
+    async with httpx.AsyncClient(headers=headers, trust_env=False, timeout=30.0) as client:
+        response = await client.get(f"http://{address}/v1/status")
+    return dict(response.json())
+
+
+async def bench_nodes() -> list[Figures]:
+    """Control cost of a real node, and the spread of a change, as the number of nodes grows."""
+    rows = []
+    for num_hollow in NUM_HOLLOW_NODES:
+        async with running(num_hollow) as deployment:
+            await deployment.configure()
+            await anyio.sleep(SETTLE_SECONDS)
+            row = summarize(await measure_window(deployment.nodes, WINDOW_SECONDS))
+            row["num_nodes"] = num_hollow + len(deployment.nodes)
+            row |= await spread_changes(deployment)
+        rows.append(row)
+        report("nodes", row)
+    return rows
+
+
+async def spread_changes(deployment: Deployment) -> Figures:
+    """Publish changes and time each until all real nodes have it in force."""
+    headers = {"authorization": f"Bearer {API_KEYS['operator']}"}
+    seconds = []
+    async with httpx.AsyncClient(headers=headers, trust_env=False, timeout=30.0) as client:
+        for number in range(NUM_CHANGES):
+            node = deployment.nodes[number % len(deployment.nodes)]
+            current = (await client.get(f"http://{node}/v1/configuration")).json()
+            document = current["document"] | {"max_live_concurrency": 100 + number}
+            change = {
+                "change_id": f"bench-{number}",
+                "expected_revision": current["revision"],
+                "document": document,
+            }
+            started_at = time.monotonic()
+            (await client.put(f"http://{node}/v1/configuration", json=change)).raise_for_status()
+            for other in deployment.nodes:
+                while (await client.get(f"http://{other}/v1/configuration")).json()["revision"] <= current[
+                    "revision"
+                ]:
+                    await anyio.sleep(0.01)
+            seconds.append(time.monotonic() - started_at)
+    return {"change_seconds_median": statistics.median(seconds), "change_seconds_max": max(seconds)}
+
+
+async def bench_engines() -> list[Figures]:
+    """Cost of a cell's owner, and time of a weight rollout, as the number of engines in a cell grows."""
+    rows = []
+    for num_engines in NUM_ENGINES:
+        async with running(0, num_engines) as deployment:
+            await publish_without_jobs(deployment)
+            await anyio.sleep(SETTLE_SECONDS)
+            rates = await measure_window(deployment.nodes, WINDOW_SECONDS)
+            cpu = [rate["process_cpu_seconds_total"] * PERCENT for rate in rates]
+            row = {
+                "num_engines": float(num_engines),
+                "owner_cpu_percent": max(cpu),
+                "other_cpu_percent": min(cpu),
+                "owner_platform_bytes_per_second": max(
+                    sum(v for k, v in rate.items() if k.startswith("worksramp_platform_bytes"))
+                    for rate in rates
+                ),
+                "rollout_seconds": await time_rollout(deployment),
+            }
+        rows.append(row)
+        report("engines", row)
+    return rows
+
+
+async def publish_without_jobs(deployment: Deployment) -> None:
+    """Publish a configuration with a model but no job, so that only control costs are seen."""
+    headers = {"authorization": f"Bearer {API_KEYS['operator']}"}
+    document = {"models": {deployment.example.model: deployment.example.fleet}}
+    change = {"change_id": "models", "expected_revision": 0, "document": document}
+    async with httpx.AsyncClient(headers=headers, trust_env=False, timeout=30.0) as client:
+        url = f"http://{deployment.nodes[0]}/v1/configuration"
+        (await client.put(url, json=change)).raise_for_status()
+
+
+async def time_rollout(deployment: Deployment) -> float:
+    """Publish weights and return how long until every engine reports them."""
+    async with httpx.AsyncClient(trust_env=False, timeout=30.0) as client:
+        url = f"http://{deployment.platform}/v1/models/{deployment.example.model}/newest"
+        started_at = time.monotonic()
+        await client.put(url, json={"weight_version": 2})
+        waiting = list(deployment.engines)
+        while waiting and time.monotonic() - started_at < 120.0:
+            for address in list(waiting):
+                report_body = (await client.get(f"http://{address}/v1/load")).json()
+                if report_body["weight_version"] >= 2:
+                    waiting.remove(address)
+            await anyio.sleep(0.05)
+        return time.monotonic() - started_at
+
+
+async def bench_requests() -> list[Figures]:
+    """CPU a live request and a token, and a keyed request, summed over the nodes."""
+    rows = []
+    async with running() as deployment:
+        await publish_without_jobs(deployment)
+        await anyio.sleep(4.0)
+        idle = await total_cpu(deployment, lambda: anyio.sleep(10.0))
+        for num_tokens in LIVE_TOKENS:
+            target = LoadTarget(
+                tuple(deployment.nodes), API_KEYS["caller"], deployment.example.model, num_tokens
+            )
+            started_at = time.monotonic()
+            cpu = await total_cpu(deployment, lambda target=target: run_completions(target, NUM_LIVE, 24))
+            cpu -= idle / 10.0 * (time.monotonic() - started_at)
+            rows.append({"max_tokens": float(num_tokens), "cpu_ms_per_request": cpu / NUM_LIVE * 1000})
+            report("live", rows[-1])
+        before = await log_bytes(deployment)
+        started_at = time.monotonic()
+        cpu = await total_cpu(
+            deployment,
+            lambda: run_keyed_calls(
+                tuple(deployment.nodes), API_KEYS["caller"], deployment.example.application, NUM_KEYED
+            ),
+        )
+        cpu -= idle / 10.0 * (time.monotonic() - started_at)
+        row = {
+            "cpu_ms_per_keyed_pair": cpu / NUM_KEYED * 1000,
+            "log_bytes_per_keyed_request": (await log_bytes(deployment) - before) / NUM_KEYED,
+        }
+        rows.append(row)
+        report("keyed", row)
+    return rows
+
+
+async def bench_samples() -> list[Figures]:
+    """CPU and log bytes a delivered sample, summed over the nodes."""
+    async with running() as deployment:
+        await deployment.configure()
+        await anyio.sleep(4.0)
+        before = await log_bytes(deployment)
+        jobs = tuple(deployment.example.prompt_files)
+
+        async def train() -> None:
+            for job in jobs:
+                deployment.start_trainer(job, 8, 0.2)
+            while any(deployment.processes[f"trainer-{job}"].poll() is None for job in jobs):
+                await anyio.sleep(0.1)
+
+        started_at = time.monotonic()
+        cpu = await total_cpu(deployment, train)
+        num_samples = 8 * 16 * len(jobs)
+        row = {
+            "num_samples": float(num_samples),
+            "samples_per_second": num_samples / (time.monotonic() - started_at),
+            "cpu_ms_per_sample": cpu / num_samples * 1000,
+            "log_bytes_per_sample": (await log_bytes(deployment) - before) / num_samples,
+        }
+    report("samples", row)
+    return [row]
+
+
+async def total_cpu(deployment: Deployment, work) -> float:  # type: ignore[no-untyped-def]
+    """Return the CPU seconds that all nodes spend while work is done."""
+    before = [await read_metrics(address) for address in deployment.nodes]
+    await work()
+    after = [await read_metrics(address) for address in deployment.nodes]
+    name = "process_cpu_seconds_total"
+    return sum(second[name] - first[name] for first, second in zip(before, after, strict=True))
+
+
+async def log_bytes(deployment: Deployment) -> float:
+    """Return the bytes that the log holds."""
+    async with httpx.AsyncClient(trust_env=False) as client:
+        return float((await client.get(f"http://{deployment.log}/size")).json()["num_bytes"])
+
+
+def report(part: str, row: Figures) -> None:
+    """Print one row as it is measured."""
+    print(part, " ".join(f"{key}={value:.4g}" for key, value in row.items()), flush=True)
+
+
+async def run_all() -> None:
+    """Run every part and write the raw figures."""
+    results: dict[str, object] = {
+        "date": date.today().isoformat(),
+        "machine": f"{platform.machine()}, {platform.python_version()}, 8 cores shared with the load",
+    }
+    results["deciders"] = measure_deciders(report)
+    results["requests"] = await bench_requests()
+    results["samples"] = await bench_samples()
+    results["engines"] = await bench_engines()
+    results["nodes"] = await bench_nodes()
+    file = ROOT / "docs" / "results" / f"bench-{date.today().isoformat()}.json"
+    await anyio.Path(file).write_text(json.dumps(results, indent=1) + "\n", encoding="utf-8")
+    print(f"raw figures in {file.relative_to(ROOT)}")
+
+
+if __name__ == "__main__":
+    sys.exit(anyio.run(run_all))
--- a/scripts/deployment.py
+++ b/scripts/deployment.py
@@ -86,12 +86,19 @@
     peers: list[str]
     engines: list[str]
     applications: list[str]
+    extra_machines: tuple[Machine, ...] = ()
+    are_engines_hollow: bool = False
     processes: dict[str, subprocess.Popen[bytes]] = field(default_factory=dict)
 
     @classmethod
-    def plan(cls, name: str, directory: Path) -> "Deployment":
-        """Choose addresses; nothing is started yet."""
-        example = load_example(name)
+    def plan(cls, name: str, directory: Path, example: Example | None = None) -> "Deployment":
+        """Choose addresses; nothing is started yet.
+
+        Args:
+            name: folder of the example, whose prompts and configuration are used.
+            example: sizes to use instead of the example's own.
+        """
+        example = example or load_example(name)
         num_zones = len(example.zones)
         total = 2 + 2 * num_zones + example.num_engines + example.num_application_workers
         addresses = free_addresses(total)
@@ -106,11 +113,29 @@
         """Start log, platform services, engines and application workers."""
         machines_file = self.directory / "machines.json"
         machines_file.write_bytes(msgspec.json.encode(self.machines()))
-        self._emulator("log", "log", listen=self.log)
-        self._emulator("platform", "platform", listen=self.platform, machines=str(machines_file))
+        self.emulator("log", "log", listen=self.log)
+        self.emulator("platform", "platform", listen=self.platform, machines=str(machines_file))
+        self._start_engines()
+        for index, address in enumerate(self.applications):
+            self.emulator(
+                f"application-{index}", "application", listen=address, worker_id=f"application-{index}"
+            )
+
+    def _start_engines(self) -> None:
         table = self.example.engine
+        if self.are_engines_hollow:
+            file = self.directory / "engines.txt"
+            file.write_text("\n".join(self.engines), encoding="utf-8")
+            self.emulator(
+                "engines",
+                "hollow_engines",
+                addresses_file=str(file),
+                max_num_seqs=table.max_num_seqs,
+                load_seconds=table.load_seconds,
+            )
+            return
         for index, address in enumerate(self.engines):
-            self._emulator(
+            self.emulator(
                 f"engine-{index}",
                 "engine",
                 listen=address,
@@ -120,10 +145,6 @@
                 step_per_sequence_seconds=table.step_per_sequence_seconds,
                 load_seconds=table.load_seconds,
             )
-        for index, address in enumerate(self.applications):
-            self._emulator(
-                f"application-{index}", "application", listen=address, worker_id=f"application-{index}"
-            )
 
     def start_node(self, index: int) -> None:
         """Start the node of one zone."""
@@ -134,7 +155,7 @@
     def start_trainer(self, job: str, num_steps: int, train_seconds: float) -> Path:
         """Start a trainer and return the file that it will write its record to."""
         record_file = self.directory / f"trainer-{job}.json"
-        self._emulator(
+        self.emulator(
             f"trainer-{job}",
             "trainer",
             nodes=" ".join(self.nodes),
@@ -167,7 +188,7 @@
             )
             for index, address in enumerate(self.applications)
         ]
-        return (*nodes, *engines, *applications)
+        return (*nodes, *engines, *applications, *self.extra_machines)
 
     async def wait_ready(self, index: int) -> None:
         """Return once a node says that it is ready.
@@ -232,7 +253,8 @@
             process.wait()
         return codes
 
-    def _emulator(self, name: str, command: str, **flags: object) -> None:
+    def emulator(self, name: str, command: str, **flags: object) -> None:
+        """Start a command of the emulator as a process."""
         arguments = [f"--{flag}={value}" for flag, value in flags.items()]
         self._start(name, [str(BIN / "worksramp-emulator"), command, *arguments])
 
--- a/src/worksramp/platform/http.py
+++ b/src/worksramp/platform/http.py
@@ -10,6 +10,7 @@
 import httpx
 import msgspec
 from httpx_sse import aconnect_sse
+from prometheus_client import Counter
 
 from worksramp.outcomes import InterruptedStepError, NotStartedError
 from worksramp.platform.base import (
@@ -36,6 +37,10 @@
 MAX_REPLY_BYTES = 8 * 1024 * 1024
 NOT_STARTED_CODE = "not_started"
 SSE_DONE = "[DONE]"
+HEADER_EXTRA = 4
+
+PLATFORM_BYTES = Counter("worksramp_platform_bytes_total", "Bytes to and from outside systems", ["step"])
+PLATFORM_REQUESTS = Counter("worksramp_platform_requests_total", "Requests to outside systems", ["step"])
 
 
 class RefusalBody(msgspec.Struct):
@@ -91,6 +96,18 @@
     raise InterruptedStepError(step, peer, f"status {status}: {refusal.reason}")
 
 
+def _count_bytes(step: str, response: httpx.Response) -> None:
+    """Count what one exchange cost on the wire, heads included."""
+    request = response.request
+    sent = len(request.content) + sum(
+        len(key) + len(value) + HEADER_EXTRA for key, value in request.headers.raw
+    )
+    received = len(response.content)
+    received += sum(len(key) + len(value) + HEADER_EXTRA for key, value in response.headers.raw)
+    PLATFORM_BYTES.labels(step).inc(sent + received)
+    PLATFORM_REQUESTS.labels(step).inc()
+
+
 class _HttpPeer:
     """Shared request helper of the clients below."""
 
@@ -107,16 +124,34 @@
         params: dict[str, str] | None = None,
         timeout_seconds: float = REPLY_TIMEOUT_SECONDS,
     ) -> bytes:
+        response = await self._exchange(
+            step, method, address, path, content=content, params=params, timeout_seconds=timeout_seconds
+        )
+        return response.content
+
+    async def _exchange(
+        self,
+        step: str,
+        method: str,
+        address: str,
+        path: str,
+        content: bytes | None = None,
+        params: dict[str, str] | None = None,
+        headers: dict[str, str] | None = None,
+        timeout_seconds: float = REPLY_TIMEOUT_SECONDS,
+    ) -> httpx.Response:
         timeout = httpx.Timeout(timeout_seconds, connect=CONNECT_TIMEOUT_SECONDS)
+        url = f"http://{address}{path}"
         with _step(step, address):
             response = await self._client.request(
-                method, f"http://{address}{path}", content=content, params=params, timeout=timeout
+                method, url, content=content, params=params, headers=headers, timeout=timeout
             )
+        _count_bytes(step, response)
         if len(response.content) > MAX_REPLY_BYTES:
             raise InterruptedStepError(step, address, f"reply larger than {MAX_REPLY_BYTES} bytes")
         retry_after = response.headers.get("retry-after")
         _raise_for_refusal(step, address, response.status_code, response.content, retry_after)
-        return response.content
+        return response
 
 
 class HttpLogClient(_HttpPeer, LogClient):
@@ -234,12 +269,20 @@
     def __init__(self, client: httpx.AsyncClient, address: str) -> None:
         super().__init__(client)
         self._address = address
+        self._etag = ""
+        self._machines: tuple[Machine, ...] = ()
 
     async def machines(self) -> tuple[Machine, ...]:
-        """See `MachineListClient.machines`."""
-        body = await self._request("machines.list", "GET", self._address, "/v1/machines")
-        with _step("machines.list", self._address):
-            return msgspec.json.decode(body, type=tuple[Machine, ...])
+        """See `MachineListClient.machines`. An unchanged list is not sent again."""
+        step = "machines.list"
+        headers = {"if-none-match": self._etag} if self._etag else None
+        response = await self._exchange(step, "GET", self._address, "/v1/machines", headers=headers)
+        if response.status_code == httpx.codes.NOT_MODIFIED:
+            return self._machines
+        with _step(step, self._address):
+            self._machines = msgspec.json.decode(response.content, type=tuple[Machine, ...])
+        self._etag = response.headers.get("etag", "")
+        return self._machines
 
 
 def http_platform(
--- a/src/worksramp/rollout/job_service.py
+++ b/src/worksramp/rollout/job_service.py
@@ -35,7 +35,8 @@
     SampleReply,
 )
 
-PLAN_PERIOD_SECONDS = 0.1
+MIN_PLAN_PERIOD_SECONDS = 0.1
+PLAN_SECONDS_PER_SAMPLE = 0.5 / 8192
 FAILED_SAMPLE_PAUSE_SECONDS = 0.3
 COMMIT_PATIENCE_SECONDS = 5.0
 RETRY_AFTER_SECONDS = 0.5
@@ -116,7 +117,7 @@
             while True:
                 self._forget_taken_bodies()
                 self._start_samples(group)
-                await anyio.sleep(PLAN_PERIOD_SECONDS)
+                await anyio.sleep(plan_period_seconds(self.spec))
 
     @property
     def trainer_version(self) -> int:
@@ -263,6 +264,14 @@
         raise StepError("job.read_sample", self._replica.stream, f"sample {index} is not at offset {offset}")
 
 
+def plan_period_seconds(spec: JobSpec) -> float:
+    """Return how long to wait between two looks at the sample plan.
+
+    A look costs time in proportion to the samples held; a large step can wait longer for the next.
+    """
+    return max(MIN_PLAN_PERIOD_SECONDS, PLAN_SECONDS_PER_SAMPLE * spec.samples_per_step)
+
+
 def samples_of_record(record: bytes) -> tuple[SampleFinished, ...]:
     """Return the finished samples that one log record carries."""
     body = msgspec.msgpack.decode(record, type=Envelope).body
--- a/src/worksramp_emulator/cli.py
+++ b/src/worksramp_emulator/cli.py
@@ -1,5 +1,6 @@
 """Console command of the emulator: one stand-in a process."""
 
+import sys
 from pathlib import Path
 
 import anyio
@@ -8,6 +9,7 @@
 
 from worksramp.platform.base import Machine
 from worksramp_emulator.engine import EngineCore, EngineProfile
+from worksramp_emulator.hollow import read_addresses, run_hollow_engines, run_hollow_nodes
 from worksramp_emulator.http_apps import (
     application_application,
     engine_application,
@@ -22,8 +24,15 @@
     ScorerCore,
     WeightStoreCore,
 )
+from worksramp_emulator.simulation.mutations import MUTATIONS
+from worksramp_emulator.simulation.prove import CHAOS, prove
+from worksramp_emulator.simulation.runner import RunResult
+from worksramp_emulator.simulation.scenarios import SCENARIOS
 from worksramp_emulator.trainer_http import run_http_trainer
 
+EXIT_FAILED = 1
+EXIT_USAGE = 2
+
 
 class EmulatorCommands:
     """Stand-ins for the systems that worksramp serves. Each runs until it is killed."""
@@ -74,6 +83,44 @@
         addresses = tuple(nodes.split())
         anyio.run(run_http_trainer, addresses, key, job, store, model, num_steps, train_seconds, record_file)
 
+    def hollow_nodes(self, settings_file: str) -> None:
+        """Run many nodes without HTTP API in one process, from a JSON file of their settings."""
+        anyio.run(run_hollow_nodes, settings_file)
+
+    def hollow_engines(self, addresses_file: str, max_num_seqs: int = 16, load_seconds: float = 1.0) -> None:
+        """Run many engines in one process, one on each address of a file."""
+        profile = EngineProfile(max_num_seqs=max_num_seqs, load_seconds=load_seconds)
+        anyio.run(run_hollow_engines, read_addresses(addresses_file), profile)
+
+    def simulate(
+        self, scenario: str = "chaos", seeds: int = 20, first: int = 0, without: str = "", processes: int = 4
+    ) -> None:
+        """Run seeds of a scenario and print the first failing one with its history.
+
+        Exit code 1 if a seed fails. ``--without NAME`` switches a mechanism off.
+
+        Example: ``worksramp-emulator simulate --scenario owner_troubles --seeds 200``
+        """
+        try:
+            report = prove(scenario, range(first, first + seeds), without, processes)
+        except KeyError as error:
+            names = ", ".join([CHAOS, *SCENARIOS]) + "; mechanisms: " + ", ".join(MUTATIONS)
+            print(f"no scenario or mechanism {error}; there are {names}", file=sys.stderr)
+            raise SystemExit(EXIT_USAGE) from error
+        mode = f"without {without}" if without else "as it is"
+        print(f"{scenario}, {mode}: {len(report.failed)} of {report.num_seeds} seeds failed")
+        if report.failed:
+            print_result(report.failed[0])
+            raise SystemExit(EXIT_FAILED)
+
+
+def print_result(result: RunResult) -> None:
+    """Print one failing run."""
+    print(f"seed {result.seed}, digest {result.digest}")
+    print("\n".join(result.history))
+    for violation in result.violations:
+        print(f"{violation.checker}: {violation.what}")
+
 
 async def _serve_log(listen: str) -> None:
     await serve_application(log_application(LogCore()), listen)
--- /dev/null
+++ b/src/worksramp_emulator/hollow.py
@@ -0,0 +1,55 @@
+"""Many nodes or engines in one process, to measure what a real node costs beside hundreds of others.
+
+Hollow nodes run the production node with its production transport; only their HTTP API is missing, and
+they may share the clients of the platform. Hollow engines run the emulated engine behind a port each.
+"""
+
+from pathlib import Path
+
+import anyio
+import httpx
+import msgspec
+
+from worksramp.logs import configure_logs
+from worksramp.node.main import make_identity
+from worksramp.node.node import Node
+from worksramp.platform.http import http_platform
+from worksramp.settings import NodeSettings
+from worksramp.transport.tcp import TcpTransport
+from worksramp_emulator.engine import EngineCore, EngineProfile
+from worksramp_emulator.http_apps import engine_application, serve_application
+
+START_SPACING_SECONDS = 0.01
+
+
+async def run_hollow_nodes(settings_file: str) -> None:
+    """Run every node of a JSON file of settings until killed."""
+    raw = await anyio.Path(settings_file).read_bytes()
+    all_settings = msgspec.json.decode(raw, type=tuple[NodeSettings, ...])
+    configure_logs("error")
+    limits = httpx.Limits(max_connections=None, max_keepalive_connections=None)
+    async with (
+        httpx.AsyncClient(limits=limits, trust_env=False) as client,
+        anyio.create_task_group() as group,
+    ):
+        for settings in all_settings:
+            addresses = settings.platform
+            platform = http_platform(client, addresses.log, addresses.weight_store, addresses.machine_list)
+            transport = TcpTransport(settings.peer_listen)
+            node = Node(settings, make_identity(settings.node_id), platform, transport)
+            group.start_soon(node.run)
+            await anyio.sleep(START_SPACING_SECONDS)
+
+
+async def run_hollow_engines(addresses: tuple[str, ...], profile: EngineProfile) -> None:
+    """Run an engine on each address until killed."""
+    async with anyio.create_task_group() as group:
+        for index, address in enumerate(addresses):
+            core = EngineCore(f"engine-{index}", profile)
+            group.start_soon(core.run)
+            group.start_soon(serve_application, engine_application(core), address)
+
+
+def read_addresses(file: str) -> tuple[str, ...]:
+    """Read addresses, one a line."""
+    return tuple(Path(file).read_text(encoding="utf-8").split())
--- a/src/worksramp_emulator/http_apps.py
+++ b/src/worksramp_emulator/http_apps.py
@@ -5,6 +5,7 @@
 
 import anyio
 import msgspec
+import xxhash
 from hypercorn.asyncio import serve
 from hypercorn.config import Config
 from sse_starlette.sse import EventSourceResponse
@@ -27,6 +28,7 @@
 )
 
 SERVICE_UNAVAILABLE = 503
+NOT_MODIFIED = 304
 BAD_REQUEST = 400
 SSE_DONE = "[DONE]"
 
@@ -99,9 +101,14 @@
         )
         return _json(page)
 
+    async def size(request: Request) -> Response:
+        num_bytes = sum(len(record) for records in core.streams.values() for record in records)
+        return _json({"num_bytes": num_bytes})
+
     path = "/v1/streams/{stream}/records"
     return Starlette(
         routes=[
+            Route("/size", size, methods=["GET"]),
             Route(path, _guarded(append), methods=["POST"]),
             Route(path, _guarded(read), methods=["GET"]),
             _fault_route(core.faults),
@@ -192,7 +199,12 @@
         return _json(body)
 
     async def machines(request: Request) -> Response:
-        return _json(await machine_list.machines())
+        response = _json(await machine_list.machines())
+        etag = f'"{xxhash.xxh64_hexdigest(bytes(response.body))}"'
+        if request.headers.get("if-none-match") == etag:
+            return Response(status_code=NOT_MODIFIED)
+        response.headers["etag"] = etag
+        return response
 
     async def set_machines(request: Request) -> Response:
         machine_list.set_machines(msgspec.json.decode(await request.body(), type=tuple[Machine, ...]))
