Datagrams of several tasks at once no longer end a node

Ruled out: the engines (hollow, silent in the log) and memory. The simulation could not see it: its transport has no socket.

Conclusion: a lock around the send.

--- a/src/worksramp/transport/tcp.py
+++ b/src/worksramp/transport/tcp.py
@@ -76,6 +76,7 @@
         self._host = host
         self._port = int(port)
         self._udp: anyio.abc.UDPSocket | None = None
+        self._udp_lock = anyio.Lock()
         self._group: anyio.abc.TaskGroup | None = None
         self._connections: dict[str, _Connection] = {}
         self._connect_locks: dict[str, anyio.Lock] = {}
@@ -87,7 +88,9 @@
         host, _, port = address.rpartition(":")
         SENT_BYTES.labels("datagram").inc(len(payload))
         try:
-            await self._udp.sendto(payload, host, int(port))
+            # anyio refuses a second sender while one waits for the socket.
+            async with self._udp_lock:
+                await self._udp.sendto(payload, host, int(port))
         except OSError:
             # Datagrams are best effort; the membership protocol notices silence.
             return
