--- a/src/worksramp/node/node.py
+++ b/src/worksramp/node/node.py
@@ -19,7 +19,7 @@
 from worksramp.node.machines import MachineDirectory
 from worksramp.node.plans import ShardPlanner
 from worksramp.node.shards import ShardManager
-from worksramp.outcomes import NotStartedError, StepError
+from worksramp.outcomes import InterruptedStepError, NotStartedError, StepError
 from worksramp.platform.base import ApplicationReply, ApplicationRequest, MachineRole, Platform
 from worksramp.rollout.document import SCHEMA_VERSION, TenantDocument, decode_document, validate_document
 from worksramp.rollout.sampler import run_sample
@@ -205,7 +205,8 @@
         if isinstance(reply, SampleReply):
             return reply
         if isinstance(reply, CallFailed):
-            raise StepError(reply.step, reply.peer, reply.reason)
+            kind = NotStartedError if reply.is_not_started else InterruptedStepError
+            raise kind(reply.step, reply.peer, reply.reason)
         raise StepError("node.run_sample", self.settings.node_id, f"unexpected {type(reply).__name__}")
 
     async def dispatch_application(self, request: ExecuteOnce) -> ApplicationReply:
--- a/src/worksramp/rollout/document.py
+++ b/src/worksramp/rollout/document.py
@@ -74,7 +74,7 @@
     jobs: dict[str, JobRequest] = {}
     preference: Preference = Preference.IDLE_TIME
     max_live_concurrency: int = 256
-    live_reserved_share: float = 0.5
+    live_reserved_share: float = 0.6
     num_fleet_cells: int = 1
 
 
--- a/src/worksramp/rollout/job_service.py
+++ b/src/worksramp/rollout/job_service.py
@@ -23,6 +23,7 @@
 from worksramp.rollout.job import BatchCommitted, JobState, SampleFinished, Segment
 from worksramp.rollout.planner import BatchPlan, NotEnoughSamples, is_batch_fresh, plan_batch, plan_sampling
 from worksramp.rollout.prompts import read_prompts
+from worksramp.rollout.throttle import SampleThrottle
 from worksramp.transport.messages import (
     BatchNotReady,
     BatchRefused,
@@ -107,6 +108,7 @@
         self._bodies: dict[int, DeliveredSample] = {}
         self._asked_version = 0
         self._num_failed = 0
+        self._throttle = SampleThrottle(spec.max_in_flight)
         self._batch_lock = anyio.Lock()
         self._request_numbers = itertools.count(1)
 
@@ -147,7 +149,12 @@
         if not self._replica.is_owner or not self._replica.is_log_reachable:
             return
         state = self._replica.state
-        chosen = plan_sampling(state, self.spec, self.preference, self._in_flight, self.trainer_version)
+        num_room = self._throttle.limit - len(self._in_flight)
+        if num_room <= 0:
+            return
+        chosen = plan_sampling(
+            state, self.spec, self.preference, self._in_flight, self.trainer_version, num_room
+        )
         for index in chosen:
             self._in_flight.add(index)
             group.start_soon(self._make_sample, index)
@@ -155,7 +162,10 @@
     async def _make_sample(self, index: int) -> None:
         try:
             await self._try_sample(index)
+            self._throttle.note_success()
         except StepError as error:
+            if isinstance(error, NotStartedError):
+                self._throttle.note_refusal(anyio.current_time())
             self._num_failed += 1
             logger.debug("sample_failed", index=index, step=error.step, peer=error.peer, reason=error.reason)
             await anyio.sleep(FAILED_SAMPLE_PAUSE_SECONDS)
@@ -174,7 +184,7 @@
             prompt=prompt,
             seed=(index * spec.samples_per_step + attempt) % SEED_MODULUS,
             max_tokens=spec.max_tokens,
-            min_weight_version=max(0, self.trainer_version - spec.max_staleness),
+            min_weight_version=self._min_weight_version(attempt),
             live_reserved_share=self._live_reserved_share,
         )
         reply = await self._run_sample(request)
@@ -185,6 +195,15 @@
         if isinstance(verdict, Accepted):
             self._bodies[index] = DeliveredSample(index, attempt, prompt, reply.tokens, segments, reward)
 
+    def _min_weight_version(self, attempt: int) -> int:
+        """Return the oldest weights that a sample may begin on.
+
+        One that became too old before is likely long: it needs its whole room, so it begins on the
+        newest weights or waits for them.
+        """
+        room = self.spec.max_staleness if attempt == 1 else 0
+        return max(0, self.trainer_version - room)
+
     def _forget_taken_bodies(self) -> None:
         state = self._replica.state
         for index in [index for index in self._bodies if state.is_taken(index)]:
--- a/src/worksramp/rollout/planner.py
+++ b/src/worksramp/rollout/planner.py
@@ -4,6 +4,7 @@
     docs/design/delivery.md, "Which samples a batch takes"
 """
 
+import math
 from collections.abc import Set
 from dataclasses import dataclass
 
@@ -11,6 +12,7 @@
 from worksramp.rollout.job import JobState
 
 MAX_ATTEMPTS_BEFORE_HOLD = 2
+SPARE_SHARE = 0.25
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,15 +83,22 @@
 
 
 def plan_sampling(
-    state: JobState, spec: JobSpec, preference: Preference, in_flight: Set[int], trainer_version: int
+    state: JobState,
+    spec: JobSpec,
+    preference: Preference,
+    in_flight: Set[int],
+    trainer_version: int,
+    num_room: int,
 ) -> list[int]:
     """Return indices to start now, first come first.
 
     The window ahead of the trainer decides between idle time and staleness: one batch ahead keeps
     samples fresh; as many batches as the bound allows keeps the trainer busy.
+
+    Args:
+        num_room: how many samples may start now, from the job's throttle.
     """
     fresh = fresh_indices(state, spec, trainer_version)
-    num_room = spec.max_in_flight - len(in_flight)
     num_wanted = _window(spec, preference) - len(fresh) - len(in_flight)
     num_to_start = min(num_room, num_wanted)
     chosen: list[int] = []
@@ -103,8 +112,11 @@
 
 
 def _window(spec: JobSpec, preference: Preference) -> int:
-    num_batches = 1 if preference is Preference.STALENESS else max(1, spec.max_staleness)
-    return spec.samples_per_step * num_batches
+    if preference is Preference.IDLE_TIME:
+        return spec.samples_per_step * max(1, spec.max_staleness)
+    # A little more than one batch, so that a batch need not wait for the longest sample started.
+    num_spare_groups = math.ceil(spec.samples_per_step * SPARE_SHARE / spec.group_size)
+    return spec.samples_per_step + num_spare_groups * spec.group_size
 
 
 def _held_groups(state: JobState, spec: JobSpec) -> list[int]:
--- a/src/worksramp/rollout/sampler.py
+++ b/src/worksramp/rollout/sampler.py
@@ -42,7 +42,9 @@
 ) -> SampleReply | CallFailed:
     """Generate one completion, resumed on another engine when one breaks."""
     policy = GenerationPolicy(
-        reserved_share=request.live_reserved_share, min_weight_version=request.min_weight_version
+        prefers_newest=True,
+        reserved_share=request.live_reserved_share,
+        min_weight_version=request.min_weight_version,
     )
     generate = GenerateRequest(
         request_id=request.request_id,
--- a/src/worksramp/routing/choice.py
+++ b/src/worksramp/routing/choice.py
@@ -17,6 +17,7 @@
 PREFIX_CHARACTERS = 64
 LOAD_BOUND_FACTOR = 1.25
 NUM_AFFINITY_WORKERS = 2
+LIVE_HEADROOM_DEVIATIONS = 2.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -28,8 +29,10 @@
         zone: the node's zone, preferred at equal load.
         excluded: machine ids that failed this request already.
         min_weight_version: workers that report older weights are not used.
-        reserved_share: share of each worker's slots that this request must leave free, so that live
-            requests find room while rollout work fills the fleet.
+        reserved_share: share of each worker's slots that rollout must not fill; 0 for live requests,
+            which may use all.
+        prefers_newest: whether a worker with newer weights goes before one with less load; a sample
+            begun on weights that are about to change has lost a version of its staleness bound.
     """
 
     prefix: str = ""
@@ -37,6 +40,7 @@
     excluded: frozenset[str] = frozenset()
     min_weight_version: int = 0
     reserved_share: float = 0.0
+    prefers_newest: bool = False
 
 
 def choose_worker(workers: tuple[Worker, ...], request: RouteRequest, rng: random.Random) -> Worker | None:
@@ -48,6 +52,9 @@
     allowed = tuple(worker for worker in workers if _is_allowed(worker, request))
     if not allowed:
         return None
+    if request.prefers_newest:
+        newest = max(worker.report.weight_version for worker in allowed)
+        allowed = tuple(worker for worker in allowed if worker.report.weight_version == newest)
     preferred = _by_affinity(allowed, request)
     if preferred is not None:
         return preferred
@@ -62,10 +69,13 @@
         return False
     if request.reserved_share == 0.0:
         return True
-    limit = math.floor(worker.report.max_num_seqs * (1.0 - request.reserved_share))
+    num_slots = worker.report.max_num_seqs
     # Reports lag, and other nodes fill the same worker in the meantime: each keeps to its own part.
-    own_limit = math.ceil(limit / worker.num_sharers)
-    return worker.estimated_load < limit and worker.num_in_flight < own_limit
+    own_limit = worker.own_part(math.floor(num_slots * (1.0 - request.reserved_share)))
+    # Running rollout is not preempted: a live request that finds no slot waits for the next to end. So
+    # rollout leaves room for the live requests that may well come on top of the mean.
+    headroom = 1.0 + LIVE_HEADROOM_DEVIATIONS * math.sqrt(worker.mean_live)
+    return worker.estimated_load + headroom < num_slots and worker.num_rollout_in_flight < own_limit
 
 
 def _by_affinity(allowed: tuple[Worker, ...], request: RouteRequest) -> Worker | None:
--- a/src/worksramp/routing/generation.py
+++ b/src/worksramp/routing/generation.py
@@ -21,6 +21,7 @@
 
     reserved_share: float = 0.0
     min_weight_version: int = 0
+    prefers_newest: bool = False
     max_tries: int = 4
 
 
@@ -82,6 +83,7 @@
             excluded=excluded,
             min_weight_version=policy.min_weight_version,
             reserved_share=policy.reserved_share,
+            prefers_newest=policy.prefers_newest,
         )
         worker = pool.choose(route)
         if worker is None:
@@ -89,7 +91,7 @@
         address = worker.machine.address
         attempt = msgspec.structs.replace(request, prefix_tokens=tuple(assembler.tokens))
         try:
-            with pool.using(worker):
+            with pool.using(worker, is_rollout=policy.reserved_share > 0.0):
                 async with aclosing(engines.generate(address, attempt)) as chunks:
                     async for chunk in chunks:
                         fresh = assembler.take(chunk, address)
--- a/src/worksramp/routing/leases.py
+++ b/src/worksramp/routing/leases.py
@@ -8,11 +8,15 @@
     docs/design/routing.md, "Leaving back ends"
 """
 
+from collections import Counter
 from dataclasses import dataclass
 
+import xxhash
+
 from worksramp.platform.base import Machine, WorkerReport
 
-LEASE_SECONDS = 3.0
+LEASE_SECONDS = 4.9
+LIVE_SMOOTHING = 0.05
 
 
 @dataclass(frozen=True, slots=True)
@@ -22,16 +26,22 @@
     Attributes:
         asked_at: when the report was asked for, on this node's clock.
         num_in_flight: this node's own requests there now.
+        num_rollout_in_flight: those of them that are rollout.
         num_in_flight_at_report: the same when the report was asked for.
         num_sharers: how many nodes are expected to use this worker, this one included.
+        mean_live: live requests that the worker is estimated to hold on average, from all nodes.
+        share_rank: from 0 below ``num_sharers``, by hash; says who gets what does not divide evenly.
     """
 
     machine: Machine
     report: WorkerReport
     asked_at: float
     num_in_flight: int = 0
+    num_rollout_in_flight: int = 0
     num_in_flight_at_report: int = 0
     num_sharers: int = 1
+    share_rank: int = 0
+    mean_live: float = 0.0
 
     @property
     def estimated_load(self) -> int:
@@ -39,6 +49,10 @@
         num_sent_since = max(0, self.num_in_flight - self.num_in_flight_at_report)
         return self.report.num_running + self.report.num_queued + num_sent_since
 
+    def own_part(self, num_slots: int) -> int:
+        """Return how many of so many slots this node may fill by itself."""
+        return (num_slots + self.num_sharers - 1 - self.share_rank) // self.num_sharers
+
     @property
     def has_room(self) -> bool:
         """Whether another request would start at once."""
@@ -60,14 +74,21 @@
 
 
 class WorkerTable:
-    """The workers of one group (a fleet or an application) as one node knows them."""
+    """The workers of one group (a fleet or an application) as one node knows them.
+
+    Args:
+        node_id: seeds this node's rank among those that share a worker.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, node_id: str = "") -> None:
+        self._node_id = node_id
         self._machines: dict[str, Machine] = {}
         self.num_sharers = 1
         self._reports: dict[str, _HeldReport] = {}
-        self._in_flight: dict[str, int] = {}
+        self._in_flight: Counter[str] = Counter()
+        self._rollout_in_flight: Counter[str] = Counter()
         self._leaving: set[tuple[str, int]] = set()
+        self._mean_own_live = 0.0
 
     def set_machines(self, machines: tuple[Machine, ...]) -> None:
         """Take the machine list's view; a leaving mark in it is sticky for that incarnation."""
@@ -87,7 +108,9 @@
         held = self._reports.get(machine_id)
         if held is not None and held.asked_at - held.report.age_seconds > asked_at - report.age_seconds:
             return
-        self._reports[machine_id] = _HeldReport(report, asked_at, self._in_flight.get(machine_id, 0))
+        self._reports[machine_id] = _HeldReport(report, asked_at, self._in_flight[machine_id])
+        num_own_live = self._in_flight.total() - self._rollout_in_flight.total()
+        self._mean_own_live += LIVE_SMOOTHING * (num_own_live - self._mean_own_live)
         if report.is_leaving:
             self.mark_leaving(machine_id)
 
@@ -101,17 +124,17 @@
         """Stop using a worker until it reports again, after it failed a request."""
         self._reports.pop(machine_id, None)
 
-    def begin(self, machine_id: str) -> None:
+    def begin(self, machine_id: str, is_rollout: bool) -> None:
         """Count a request sent to a worker."""
-        self._in_flight[machine_id] = self._in_flight.get(machine_id, 0) + 1
+        self._in_flight[machine_id] += 1
+        if is_rollout:
+            self._rollout_in_flight[machine_id] += 1
 
-    def end(self, machine_id: str) -> None:
+    def end(self, machine_id: str, is_rollout: bool) -> None:
         """Count a request to a worker as over."""
-        left = self._in_flight.get(machine_id, 0) - 1
-        if left > 0:
-            self._in_flight[machine_id] = left
-        else:
-            self._in_flight.pop(machine_id, None)
+        self._in_flight[machine_id] -= 1
+        if is_rollout:
+            self._rollout_in_flight[machine_id] -= 1
 
     def usable(self, now: float) -> tuple[Worker, ...]:
         """Return the workers that hold a lease now and show no evidence of leaving."""
@@ -122,14 +145,19 @@
         return {key: held.report.weight_version for key, held in self._reports.items()}
 
     def _workers(self) -> list[Worker]:
+        # This node sees its own live requests only; the nodes that share a worker are taken as alike.
+        mean_live = self._mean_own_live * self.num_sharers / max(1, len(self._machines))
         return [
             Worker(
                 self._machines[key],
                 held.report,
                 held.asked_at,
-                self._in_flight.get(key, 0),
+                self._in_flight[key],
+                self._rollout_in_flight[key],
                 held.num_in_flight,
                 self.num_sharers,
+                xxhash.xxh32_intdigest(f"{self._node_id}|{key}".encode()) % self.num_sharers,
+                mean_live,
             )
             for key, held in self._reports.items()
             if key in self._machines
--- a/src/worksramp/routing/pool.py
+++ b/src/worksramp/routing/pool.py
@@ -13,7 +13,8 @@
 from worksramp.routing.leases import Worker, WorkerTable
 from worksramp.routing.subset import choose_subset
 
-REPORT_PERIOD_SECONDS = 1.0
+# One lost report must not end a lease: two periods and a timeout fit into it.
+REPORT_PERIOD_SECONDS = 2.0
 REPORT_TIMEOUT_SECONDS = 0.8
 
 ReportFunction = Callable[[str], Awaitable[WorkerReport]]
@@ -33,7 +34,7 @@
     def __init__(
         self, node_id: str, zone: str, ask_report: ReportFunction, subset_size: int, rng: random.Random
     ) -> None:
-        self.table = WorkerTable()
+        self.table = WorkerTable(node_id)
         self.zone = zone
         self._node_id = node_id
         self._ask_report = ask_report
@@ -59,10 +60,10 @@
         return max(self.table.reported_versions().values(), default=0)
 
     @contextmanager
-    def using(self, worker: Worker) -> Iterator[None]:
+    def using(self, worker: Worker, is_rollout: bool = False) -> Iterator[None]:
         """Count a request on the worker, and learn from its failure."""
         machine_id = worker.machine.machine_id
-        self.table.begin(machine_id)
+        self.table.begin(machine_id, is_rollout)
         try:
             yield
         except NotStartedError as error:
@@ -75,7 +76,7 @@
             self.table.drop_lease(machine_id)
             raise
         finally:
-            self.table.end(machine_id)
+            self.table.end(machine_id, is_rollout)
 
     async def run(self) -> None:
         """Ask for reports for ever, each worker once a period."""
