Real nodes killed, paused and stopped under load; the experiment command

Cause: the simulation's transport and clients are twins; the real ones had not been tried under faults. `make faults` runs the Litoral example as processes, ends node-0 with SIGKILL, pauses node-1 for 10 s, stops node-2 with SIGTERM, and checks trainers, keyed and live requests with the demo's checks.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 	$(BIN)/pip install -q --no-deps -e .
 	touch $@
 
-.PHONY: demo test bench format
+.PHONY: demo test faults bench format
 demo: $(VENV)/.installed
 	$(BIN)/python scripts/demo.py
 
@@ -19,6 +19,9 @@
 	$(BIN)/lint-imports
 	$(BIN)/pytest
 
+faults: $(VENV)/.installed
+	$(BIN)/python scripts/faults.py
+
 bench: $(VENV)/.installed
 	$(BIN)/python scripts/bench.py
 
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -16,7 +16,7 @@
 from worksramp.platform.base import GenerateRequest, GenerationChunk
 from worksramp.platform.http import HttpEngineClient
 from worksramp_emulator.engine import TokenRun
-from worksramp_emulator.load import LoadTarget, run_completions, run_keyed_calls
+from worksramp_emulator.load import LoadTarget, count_runs, run_completions, run_keyed_calls
 from worksramp_emulator.text import whole_completion
 from worksramp_emulator.trainer import TrainerRecord
 from worksramp_emulator.trainer_http import read_record
@@ -121,7 +121,7 @@
     await check_keyed(deployment, summary)
     for job in jobs:
         await wait_process(deployment, f"trainer-{job}")
-        await check_job(deployment, summary, job, read_record(str(files[job])))
+        await check_job(deployment, summary, job, read_record(str(files[job])), NUM_STEPS)
     await compare_latency(deployment, summary)
 
 
@@ -152,11 +152,7 @@
     keyed = await run_keyed_calls(
         tuple(deployment.nodes), API_KEYS["caller"], application, NUM_KEYED_REQUESTS
     )
-    runs: dict[str, int] = {}
-    async with httpx.AsyncClient(trust_env=False) as client:
-        for address in deployment.applications:
-            for request_id, count in (await client.get(f"http://{address}/runs")).json().items():
-                runs[request_id] = runs.get(request_id, 0) + count
+    runs = await count_runs(deployment.applications)
     num_completed = sum(1 for outcome in keyed.outcomes.values() if outcome == "completed")
     num_twice = sum(1 for count in runs.values() if count > 1)
     summary.check(
@@ -165,7 +161,9 @@
     summary.check("keyed requests run twice", num_twice, num_twice == 0 and len(runs) == NUM_KEYED_REQUESTS)
 
 
-async def check_job(deployment: Deployment, summary: Summary, job: str, record: TrainerRecord) -> None:
+async def check_job(
+    deployment: Deployment, summary: Summary, job: str, record: TrainerRecord, num_steps: int
+) -> None:
     """Check what one trainer took in against the engines' own records."""
     samples = [sample for batch in record.batches for sample in batch.samples]
     bound = {"explanations": 2, "disputes": 1, "replies": 2}[job]
@@ -179,7 +177,7 @@
         for index in range(segment.start, segment.end)
         if segment.weight_version not in truth.get((sample.prompt, "".join(sample.tokens), index), set())
     )
-    summary.check(f"{job}: steps delivered", len(record.batches), len(record.batches) == NUM_STEPS)
+    summary.check(f"{job}: steps delivered", len(record.batches), len(record.batches) == num_steps)
     summary.check(f"{job}: samples delivered", len(samples), len(samples) > 0)
     summary.check(f"{job}: duplicates", duplicates, duplicates == 0)
     summary.check(f"{job}: tokens with a wrong weight version", num_wrong, num_wrong == 0)
--- a/src/worksramp_emulator/cli.py
+++ b/src/worksramp_emulator/cli.py
@@ -1,6 +1,7 @@
 """Console command of the emulator: one stand-in a process."""
 
 import sys
+import tomllib
 from pathlib import Path
 
 import anyio
@@ -9,6 +10,7 @@
 
 from worksramp.platform.base import Machine
 from worksramp_emulator.engine import EngineCore, EngineProfile
+from worksramp_emulator.experiments import load_experiments, plot, run_experiments, write_csv
 from worksramp_emulator.hollow import read_addresses, run_hollow_engines, run_hollow_nodes
 from worksramp_emulator.http_apps import (
     application_application,
@@ -113,6 +115,21 @@
             print_result(report.failed[0])
             raise SystemExit(EXIT_FAILED)
 
+    def experiment(self, file: str, out: str, plots: bool = False, processes: int = 4) -> None:
+        """Run the policies of an experiment file side by side; write ``experiments.csv`` into a folder.
+
+        Example: ``worksramp-emulator experiment --file examples/experiments.toml --out docs/results``
+        """
+        try:
+            experiments = load_experiments(file).experiments
+        except (OSError, tomllib.TOMLDecodeError, msgspec.ValidationError) as error:
+            print(f"{file}: {error}", file=sys.stderr)
+            raise SystemExit(EXIT_USAGE) from error
+        results = run_experiments(experiments, processes)
+        write_csv(Path(out) / "experiments.csv", results)
+        if plots:
+            plot(Path(out) / "experiments.png", results)
+
 
 def print_result(result: RunResult) -> None:
     """Print one failing run."""
--- a/src/worksramp_emulator/experiments.py
+++ b/src/worksramp_emulator/experiments.py
@@ -12,6 +12,7 @@
 import statistics
 import tomllib
 from collections.abc import Awaitable, Callable, Coroutine
+from concurrent.futures import ProcessPoolExecutor
 from contextlib import ExitStack, aclosing
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -425,6 +426,13 @@
     return POLICIES[policy](spec, seed).result(spec.name, policy, seed)
 
 
+def run_experiments(experiments: tuple[ExperimentSpec, ...], num_processes: int) -> list[PolicyResult]:
+    """Run every policy with every seed of every experiment, in some processes."""
+    runs = [(spec, policy, seed) for spec in experiments for policy in POLICIES for seed in spec.seeds]
+    with ProcessPoolExecutor(num_processes) as processes:
+        return list(processes.map(run_policy, *zip(*runs, strict=True)))
+
+
 def write_csv(file: Path, results: list[PolicyResult]) -> None:
     """Write results, a row a run."""
     with file.open("w", newline="", encoding="utf-8") as output:
--- a/src/worksramp_emulator/load.py
+++ b/src/worksramp_emulator/load.py
@@ -121,6 +121,16 @@
     return record
 
 
+async def count_runs(applications: list[str]) -> dict[str, int]:
+    """Return how often each keyed request ran, over all application workers."""
+    runs: dict[str, int] = {}
+    async with httpx.AsyncClient(trust_env=False) as client:
+        for address in applications:
+            for request_id, count in (await client.get(f"http://{address}/runs")).json().items():
+                runs[request_id] = runs.get(request_id, 0) + count
+    return runs
+
+
 async def _one_keyed_call(
     client: httpx.AsyncClient,
     address: str,
