Large modules split by job; the benchmark keeps each part's figures

Suspected, not shown: listeners' ports lay in the range of outgoing connections; they are now taken below it. Figures of a part are written when it ends, so that a later failure loses nothing.

--- a/scripts/bench.py
+++ b/scripts/bench.py
@@ -324,21 +324,28 @@
     print(part, " ".join(f"{key}={value:.4g}" for key, value in row.items()), flush=True)
 
 
-async def run_all() -> None:
-    """Run every part and write the raw figures."""
-    results: dict[str, object] = {
-        "date": date.today().isoformat(),
-        "machine": f"{platform.machine()}, {platform.python_version()}, 8 cores shared with the load",
-    }
-    results["deciders"] = measure_deciders(report)
-    results["requests"] = await bench_requests()
-    results["samples"] = await bench_samples()
-    results["engines"] = await bench_engines()
-    results["nodes"] = await bench_nodes()
-    file = ROOT / "docs" / "results" / f"bench-{date.today().isoformat()}.json"
-    await anyio.Path(file).write_text(json.dumps(results, indent=1) + "\n", encoding="utf-8")
-    print(f"raw figures in {file.relative_to(ROOT)}")
+PARTS = {
+    "requests": bench_requests,
+    "samples": bench_samples,
+    "engines": bench_engines,
+    "nodes": bench_nodes,
+}
+
+
+async def run_parts(names: list[str]) -> None:
+    """Run parts and write the raw figures after each; figures of parts not run stay as they are."""
+    file = anyio.Path(ROOT / "docs" / "results" / "bench.json")
+    results = json.loads(await file.read_text(encoding="utf-8")) if await file.exists() else {}
+    results["machine"] = (
+        f"{platform.machine()}, Python {platform.python_version()}, 8 cores shared with the load"
+    )
+    if "deciders" in names:
+        results["deciders"] = {"date": date.today().isoformat(), "rows": measure_deciders(report)}
+    for name in names:
+        if name in PARTS:
+            results[name] = {"date": date.today().isoformat(), "rows": await PARTS[name]()}
+        await file.write_text(json.dumps(results, indent=1) + "\n", encoding="utf-8")
 
 
 if __name__ == "__main__":
-    sys.exit(anyio.run(run_all))
+    anyio.run(run_parts, sys.argv[1:] or ["deciders", *PARTS])
--- a/scripts/bench_deciders.py
+++ b/scripts/bench_deciders.py
@@ -9,7 +9,8 @@
 
 from worksramp.coordination.fold import Claim, Envelope, StreamFold, Write, take_snapshot
 from worksramp.coordination.ledger import Intent, LedgerState, Result
-from worksramp.coordination.membership import Member, Membership
+from worksramp.coordination.membership import Membership
+from worksramp.coordination.membership_messages import Member
 from worksramp.platform.base import Machine, MachineRole, WorkerReport
 from worksramp.rollout.document import JobSpec, Preference
 from worksramp.rollout.job import JobState, SampleFinished, Segment
--- a/scripts/deployment.py
+++ b/scripts/deployment.py
@@ -2,6 +2,7 @@
 
 import hashlib
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -20,6 +21,7 @@
 BIN = Path(sys.executable).parent
 ROOT = Path(__file__).resolve().parent.parent
 HOST = "127.0.0.1"
+PORT_RANGE = (20_000, 32_000)
 READY_TIMEOUT_SECONDS = 60.0
 STOP_TIMEOUT_SECONDS = 30.0
 OK = 200
@@ -57,15 +59,27 @@
 
 
 def free_addresses(count: int) -> list[str]:
-    """Return loopback addresses whose TCP ports were free a moment ago."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for item in sockets:
-            item.bind((HOST, 0))
-        return [f"{HOST}:{item.getsockname()[1]}" for item in sockets]
-    finally:
-        for item in sockets:
-            item.close()
+    """Return loopback addresses whose ports are free for TCP and UDP now.
+
+    They lie below the range from which outgoing connections get theirs; otherwise one of those could take
+    a port between this look and the listener's start.
+    """
+    ports = random.sample(range(*PORT_RANGE), PORT_RANGE[1] - PORT_RANGE[0])
+    free: list[str] = []
+    while len(free) < count:
+        port = ports.pop()
+        if all(_is_free(kind, port) for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM)):
+            free.append(f"{HOST}:{port}")
+    return free
+
+
+def _is_free(kind: socket.SocketKind, port: int) -> bool:
+    with socket.socket(socket.AF_INET, kind) as item:
+        try:
+            item.bind((HOST, port))
+        except OSError:
+            return False
+    return True
 
 
 @dataclass(slots=True)
--- a/src/worksramp/coordination/configuration_service.py
+++ b/src/worksramp/coordination/configuration_service.py
@@ -20,7 +20,8 @@
     TenantConfiguration,
     Validator,
 )
-from worksramp.coordination.membership import Member, Membership
+from worksramp.coordination.membership import Membership
+from worksramp.coordination.membership_messages import Member
 from worksramp.coordination.peers import PeerCaller
 from worksramp.coordination.replication import StagedRecords, num_answers_needed, num_copies_needed
 from worksramp.outcomes import StepError
--- a/src/worksramp/coordination/membership.py
+++ b/src/worksramp/coordination/membership.py
@@ -14,10 +14,20 @@
 import math
 import random
 from dataclasses import dataclass
-from enum import IntEnum
 
 import msgspec
 
+from worksramp.coordination.membership_messages import (
+    Acknowledgement,
+    IndirectProbe,
+    Join,
+    Member,
+    MembershipMessage,
+    MemberStatus,
+    Probe,
+    Table,
+)
+
 PROBE_PERIOD_SECONDS = 1.0
 PROBE_TIMEOUT_SECONDS = 0.3
 SUSPICION_SECONDS = 2.0
@@ -25,78 +35,6 @@
 NUM_INDIRECT_PROBES = 3
 MAX_UPDATES_PER_MESSAGE = 6
 RETRANSMIT_FACTOR = 3
-
-
-class MemberStatus(IntEnum):
-    """In rising order of precedence at equal incarnation."""
-
-    ALIVE = 0
-    SUSPECT = 1
-    LEAVING = 2
-    DEAD = 3
-
-
-class Member(msgspec.Struct, frozen=True, array_like=True):
-    """What is believed of one node.
-
-    Attributes:
-        instance_id: id of the process; a restarted one has another. A member declared dead while it was
-            paused returns under a higher incarnation.
-        roles: names of the roles it runs.
-    """
-
-    instance_id: str
-    address: str
-    zone: str
-    roles: tuple[str, ...]
-    status: MemberStatus = MemberStatus.ALIVE
-    incarnation: int = 0
-    max_schema_version: int = 1
-
-
-class Probe(msgspec.Struct, frozen=True, array_like=True, tag=1):
-    """Are you there? The sender's address stands in it, for receivers that do not know the sender."""
-
-    sequence: int
-    sender: str
-    sender_address: str
-    configuration_offset: int
-    updates: tuple[Member, ...] = ()
-
-
-class Acknowledgement(msgspec.Struct, frozen=True, array_like=True, tag=2):
-    """I am here; ``subject`` is the member that is."""
-
-    sequence: int
-    sender: str
-    subject: str
-    configuration_offset: int
-    updates: tuple[Member, ...] = ()
-
-
-class IndirectProbe(msgspec.Struct, frozen=True, array_like=True, tag=3):
-    """Please probe ``target_address`` for me."""
-
-    sequence: int
-    sender: str
-    target_address: str
-    updates: tuple[Member, ...] = ()
-
-
-class Join(msgspec.Struct, frozen=True, array_like=True, tag=4):
-    """A new member asks a seed for its whole table."""
-
-    sender: Member
-
-
-class Table(msgspec.Struct, frozen=True, array_like=True, tag=5):
-    """Answer to a join, in parts small enough for a datagram."""
-
-    members: tuple[Member, ...]
-    configuration_offset: int
-
-
-MembershipMessage = Probe | Acknowledgement | IndirectProbe | Join | Table
 MAX_TABLE_MEMBERS_PER_MESSAGE = 12
 
 
--- a/src/worksramp/coordination/membership_service.py
+++ b/src/worksramp/coordination/membership_service.py
@@ -10,11 +10,11 @@
     PROBE_TIMEOUT_SECONDS,
     Instruction,
     Membership,
-    MembershipMessage,
     PullConfiguration,
     Send,
     StatusChanged,
 )
+from worksramp.coordination.membership_messages import MembershipMessage
 from worksramp.transport.base import Transport
 
 TICK_SECONDS = PROBE_TIMEOUT_SECONDS / 2
--- a/src/worksramp/coordination/peers.py
+++ b/src/worksramp/coordination/peers.py
@@ -2,7 +2,8 @@
 
 import msgspec
 
-from worksramp.coordination.membership import Member, Membership
+from worksramp.coordination.membership import Membership
+from worksramp.coordination.membership_messages import Member
 from worksramp.coordination.placement import rendezvous_order
 from worksramp.outcomes import InterruptedStepError, NotStartedError
 from worksramp.transport.base import Transport
--- a/src/worksramp/node/node.py
+++ b/src/worksramp/node/node.py
@@ -12,7 +12,8 @@
 
 from worksramp.coordination.configuration import TenantConfiguration
 from worksramp.coordination.configuration_service import ConfigurationService
-from worksramp.coordination.membership import Member, Membership
+from worksramp.coordination.membership import Membership
+from worksramp.coordination.membership_messages import Member
 from worksramp.coordination.membership_service import MembershipService
 from worksramp.coordination.peers import PeerCaller
 from worksramp.gateway.live import LiveTraffic
--- a/src/worksramp_emulator/experiments.py
+++ b/src/worksramp_emulator/experiments.py
@@ -33,7 +33,8 @@
 from worksramp_emulator.simulation.clock import run_simulated
 from worksramp_emulator.simulation.history import LiveAnswered
 from worksramp_emulator.simulation.network import NetworkProfile
-from worksramp_emulator.simulation.world import LIVE_MAX_TOKENS, World, WorldSpec
+from worksramp_emulator.simulation.world import LIVE_MAX_TOKENS, World
+from worksramp_emulator.simulation.world_spec import WorldSpec
 from worksramp_emulator.text import completion_length
 from worksramp_emulator.trainer import TrainerRecord
 
--- a/src/worksramp_emulator/simulation/checkers.py
+++ b/src/worksramp_emulator/simulation/checkers.py
@@ -14,7 +14,8 @@
     RevisionSeen,
     WorkerLeft,
 )
-from worksramp_emulator.simulation.world import JOB, TENANT, World
+from worksramp_emulator.simulation.world import World
+from worksramp_emulator.simulation.world_spec import JOB, TENANT
 from worksramp_emulator.text import whole_completion
 
 MAX_LEAVING_SECONDS = 5.0
--- a/src/worksramp_emulator/simulation/runner.py
+++ b/src/worksramp_emulator/simulation/runner.py
@@ -9,8 +9,10 @@
 from worksramp.logs import configure_logs
 from worksramp_emulator.simulation.checkers import Violation, check_all
 from worksramp_emulator.simulation.clock import run_simulated
-from worksramp_emulator.simulation.faults import ScheduledFault, draw_schedule, run_schedule
-from worksramp_emulator.simulation.world import World, WorldSpec
+from worksramp_emulator.simulation.fault_runner import run_schedule
+from worksramp_emulator.simulation.faults import ScheduledFault, draw_schedule
+from worksramp_emulator.simulation.world import World
+from worksramp_emulator.simulation.world_spec import WorldSpec
 
 FAULT_SECONDS = 25.0
 SETTLE_SECONDS = 150.0
@@ -39,7 +41,7 @@
     """Run one seed with a drawn schedule of faults."""
 
     def draw(world: World) -> list[ScheduledFault]:
-        return draw_schedule(random.Random(seed), num_faults, FAULT_SECONDS, world)
+        return draw_schedule(random.Random(seed), num_faults, FAULT_SECONDS, world.spec)
 
     return _run(seed, spec or WorldSpec(), draw)
 
--- a/src/worksramp_emulator/simulation/scenarios.py
+++ b/src/worksramp_emulator/simulation/scenarios.py
@@ -23,7 +23,7 @@
     SlowLog,
     StopNode,
 )
-from worksramp_emulator.simulation.world import WorldSpec
+from worksramp_emulator.simulation.world_spec import WorldSpec
 
 Draw = Callable[[random.Random], list[ScheduledFault]]
 
--- a/src/worksramp_emulator/simulation/world.py
+++ b/src/worksramp_emulator/simulation/world.py
@@ -1,9 +1,8 @@
 """A simulated deployment: nodes, back ends, platform, callers and trainers on one virtual clock."""
 
-import hashlib
 import random
 import uuid
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 import anyio
 import anyio.abc
@@ -14,10 +13,9 @@
 from worksramp.node.node import Identity, Node
 from worksramp.outcomes import NotStartedError, StepError
 from worksramp.platform.base import GenerateRequest, Machine, MachineRole
-from worksramp.rollout.document import JobRequest, JobSpec, Preference, TenantDocument, group_name
+from worksramp.rollout.document import TenantDocument, group_name
 from worksramp.rollout.prompts import prompt_set_name, write_prompts
-from worksramp.settings import ApiKey, KeyRole, NodeSettings, PlatformSettings
-from worksramp_emulator.engine import EngineCore, EngineProfile
+from worksramp_emulator.engine import EngineCore
 from worksramp_emulator.platform import ApplicationCore, LogCore, MachineListCore, WeightStoreCore
 from worksramp_emulator.simulation.clients import PlatformCores
 from worksramp_emulator.simulation.history import (
@@ -31,17 +29,25 @@
     RevisionSeen,
 )
 from worksramp_emulator.simulation.host import Host
-from worksramp_emulator.simulation.network import NetworkProfile, SimulatedNetwork, SimulatedTransport
+from worksramp_emulator.simulation.network import SimulatedNetwork, SimulatedTransport
+from worksramp_emulator.simulation.world_spec import (
+    APPLICATION,
+    CALLER_KEY,
+    FLEET,
+    JOB,
+    MODEL,
+    OPERATOR_KEY,
+    TENANT,
+    TRAINER_KEY,
+    ZONES,
+    WorldSpec,
+    node_settings,
+    peer_address,
+    tenant_document,
+)
 from worksramp_emulator.text import whole_completion
 from worksramp_emulator.trainer import FetchResult, TrainerRecord, decode_batch, run_trainer
 
-TENANT = "zwrotka"
-MODEL = "refund-writer"
-FLEET = "refund-model"
-APPLICATION = "refund-app"
-JOB = "explanations"
-ZONES = ("wro-a", "wro-b", "lodz-c")
-OPERATOR_KEY, CALLER_KEY, TRAINER_KEY = "operator-key", "caller-key", "trainer-key"
 OBSERVE_SECONDS = 0.05
 STOP_POLL_SECONDS = 0.1
 START_TIMEOUT_SECONDS = 60.0
@@ -52,30 +58,6 @@
 MILLISECONDS = 1000
 
 
-@dataclass(frozen=True, slots=True)
-class WorldSpec:
-    """Size and speed of a simulated deployment.
-
-    Attributes:
-        machine_list_lag_seconds: lag of the machine list.
-        num_steps: batches that the trainer takes.
-    """
-
-    num_nodes: int = 3
-    num_engines: int = 5
-    num_applications: int = 3
-    machine_list_lag_seconds: float = 5.0
-    num_steps: int = 5
-    train_seconds: float = 3.0
-    max_staleness: int = 2
-    samples_per_step: int = 8
-    group_size: int = 2
-    max_tokens: int = 128
-    preference: Preference = Preference.IDLE_TIME
-    engine: EngineProfile = field(default_factory=lambda: EngineProfile(load_seconds=0.6))
-    network: NetworkProfile = field(default_factory=NetworkProfile)
-
-
 @dataclass(slots=True)
 class Slot:
     """A place where a node runs, again and again under new instance ids."""
@@ -121,7 +103,7 @@
         name = prompt_set_name(TENANT, prompts)
         await write_prompts(self.cores.log, name, prompts)
         self.cores.store.publish(MODEL, 1)
-        await self._publish_first(self.document(name, len(prompts)))
+        await self._publish_first(tenant_document(self.spec, name, len(prompts)))
         self.group.start_soon(self._observe)
 
     def start_node(self, slot: Slot) -> None:
@@ -131,9 +113,11 @@
         slot.host = host
         slot.scope = anyio.CancelScope()
         identity = Identity(f"{slot.name}.{slot.generation}", self.rng.randrange(2**32))
-        transport = SimulatedTransport(self.peer_address(slot.index), host, self.network)
+        transport = SimulatedTransport(peer_address(slot.index), host, self.network)
         platform = self.cores.clients_for(host, self.network, self.group, self.rng)
-        slot.node = Node(self._settings(slot), identity, platform, transport, self.wall_clock_ms)
+        slot.node = Node(
+            node_settings(slot.index, host.zone), identity, platform, transport, self.wall_clock_ms
+        )
         self.group.start_soon(self._run_node, slot, host, slot.node, slot.scope)
 
     def kill(self, slot: Slot) -> None:
@@ -270,30 +254,6 @@
         """Return Unix time on the virtual clock."""
         return EPOCH_MS + int(anyio.current_time() * MILLISECONDS)
 
-    def document(self, prompt_set: str, num_prompts: int) -> TenantDocument:
-        """Return the tenant's configuration."""
-        spec = JobSpec(
-            model=MODEL,
-            prompt_set=prompt_set,
-            num_prompts=num_prompts,
-            scorer="scorer",
-            max_staleness=self.spec.max_staleness,
-            group_size=self.spec.group_size,
-            samples_per_step=self.spec.samples_per_step,
-            max_tokens=self.spec.max_tokens,
-            max_in_flight=2 * self.spec.samples_per_step,
-        )
-        return TenantDocument(
-            models={MODEL: FLEET},
-            templates={"writer": spec},
-            jobs={JOB: JobRequest("writer")},
-            preference=self.spec.preference,
-        )
-
-    def peer_address(self, index: int) -> str:
-        """Return a node's address for other nodes."""
-        return f"10.0.0.{index + 1}:7000"
-
     async def _run_node(self, slot: Slot, host: Host, node: Node, scope: anyio.CancelScope) -> None:
         with scope:
             async with anyio.create_task_group() as group:
@@ -374,7 +334,7 @@
 
     def _add_workers(self) -> None:
         machines = [
-            Machine(f"node-{index}", MachineRole.NODE, self.peer_address(index), ZONES[index % len(ZONES)])
+            Machine(f"node-{index}", MachineRole.NODE, peer_address(index), ZONES[index % len(ZONES)])
             for index in range(self.spec.num_nodes)
         ]
         for index in range(self.spec.num_engines):
@@ -395,23 +355,3 @@
     def _machine(self, name: str, role: MachineRole, group: str, index: int) -> Machine:
         zone = ZONES[index % len(ZONES)]
         return Machine(name, role, f"{name}:8000", zone, group_name(TENANT, group))
-
-    def _settings(self, slot: Slot) -> NodeSettings:
-        return NodeSettings(
-            node_id=slot.name,
-            zone=ZONES[slot.index % len(ZONES)],
-            listen=f"10.0.0.{slot.index + 1}:8000",
-            peer_listen=self.peer_address(slot.index),
-            platform=PlatformSettings("10.0.1.1:1", "10.0.1.2:1", "10.0.1.3:1"),
-            keys=(
-                _api_key(CALLER_KEY, KeyRole.CALLER),
-                _api_key(TRAINER_KEY, KeyRole.TRAINER),
-                _api_key(OPERATOR_KEY, KeyRole.OPERATOR),
-            ),
-            num_ledger_shards=4,
-            drain_seconds=60.0,
-        )
-
-
-def _api_key(key: str, role: KeyRole) -> ApiKey:
-    return ApiKey(TENANT, role, hashlib.sha256(key.encode()).hexdigest())
--- a/tests/steps/test_directed.py
+++ b/tests/steps/test_directed.py
@@ -13,10 +13,12 @@
 from worksramp.platform.base import GenerateRequest, GenerationChunk
 from worksramp_emulator.engine import EngineCore, EngineProfile
 from worksramp_emulator.simulation.clock import run_simulated
-from worksramp_emulator.simulation.faults import CutLog, KillNode, LogOutage, LoseLogReplies, apply_fault
+from worksramp_emulator.simulation.fault_runner import apply_fault
+from worksramp_emulator.simulation.faults import CutLog, KillNode, LogOutage, LoseLogReplies
 from worksramp_emulator.simulation.history import KeyedAnswered, LiveAnswered, RevisionAccepted, RevisionSeen
 from worksramp_emulator.simulation.network import NetworkProfile
-from worksramp_emulator.simulation.world import TENANT, World, WorldSpec
+from worksramp_emulator.simulation.world import World
+from worksramp_emulator.simulation.world_spec import TENANT, WorldSpec
 
 scenarios("directed.feature")
 
--- a/tests/unit/test_membership.py
+++ b/tests/unit/test_membership.py
@@ -2,7 +2,8 @@
 
 from collections.abc import Callable
 
-from worksramp.coordination.membership import Member, Membership, MemberStatus, Send
+from worksramp.coordination.membership import Membership, Send
+from worksramp.coordination.membership_messages import Member, MemberStatus
 
 TICK_SECONDS = 0.15
 
