--- a/src/worksramp/gateway/http.py
+++ b/src/worksramp/gateway/http.py
@@ -12,13 +12,13 @@
 
 from worksramp.gateway.backend import GatewayBackend
 from worksramp.outcomes import InterruptedStepError, NotStartedError, StepError
+from worksramp.routing.limits import DEFAULT_RETRY_AFTER_SECONDS
 from worksramp.settings import ApiKey, KeyRole
 
 MAX_BODY_BYTES = 4 * 1024 * 1024
 MAX_DEADLINE_SECONDS = 600.0
 DEADLINE_HEADER = "x-deadline-seconds"
 BEARER_PREFIX = "Bearer "
-DEFAULT_RETRY_AFTER_SECONDS = 1.0
 
 BAD_REQUEST = 400
 UNAUTHORIZED = 401
