Every worker has a node: workers are given to nodes, not picked by them

Cause: each node picked eight workers by hashing. At 330 nodes and 1,500 workers that leaves exp(-1.76) = 17% of the workers to nobody (worked out); the figure in use for sharing a worker's slots was only an expectation.

Change: each worker is given to a few live nodes by rendezvous hashing (two at the target, all in a small deployment); the number of sharers is exact, and the choice follows membership at once instead of the next reading of the list.

After: at 330 and 1,500 every worker has exactly two nodes and no node more than 24 workers (test); a node that goes moves only its own workers (test). 91 unit and directed tests pass.

--- a/src/worksramp/node/machines.py
+++ b/src/worksramp/node/machines.py
@@ -14,6 +14,7 @@
 
 POLL_SECONDS = 5.0
 FIRST_POLL_SECONDS = 0.5
+SHARE_OUT_SECONDS = 1.0
 logger = structlog.get_logger()
 
 
@@ -22,7 +23,8 @@
     """Follows the machine list; while it does not answer, the last copy is used.
 
     Attributes:
-        node_id: seeds the subset of workers that this node uses.
+        node_id: this process, as it stands among the live nodes.
+        live_nodes: returns the instance ids of live nodes.
     """
 
     platform: Platform
@@ -30,18 +32,20 @@
     zone: str
     subset_size: int
     rng: random.Random
+    live_nodes: Callable[[], frozenset[str]]
     machines: tuple[Machine, ...] = ()
     _pools: dict[tuple[MachineRole, str], WorkerPool] = field(default_factory=dict)
     _group: anyio.abc.TaskGroup | None = None
+    _shared_out: tuple[tuple[Machine, ...], frozenset[str]] = ((), frozenset())
 
     async def run(self) -> None:
         """Poll the list and keep every pool's reports fresh until cancelled."""
         async with anyio.create_task_group() as group:
             self._group = group
+            group.start_soon(self._follow_list)
             while True:
-                await self._poll()
-                # Until the list has been read once there is nobody to join and nothing to serve.
-                await anyio.sleep(POLL_SECONDS if self.machines else FIRST_POLL_SECONDS)
+                self._share_out()
+                await anyio.sleep(SHARE_OUT_SECONDS)
 
     def pool(self, role: MachineRole, group_name: str) -> WorkerPool | None:
         """Return the pool of a fleet or application, None if the list names no machine of it."""
@@ -59,12 +63,22 @@
             if machine.role is MachineRole.ENGINE and machine.group == fleet
         )
 
-    async def _poll(self) -> None:
-        try:
-            self.machines = await self.platform.machine_list.machines()
-        except StepError as error:
-            logger.warning("machine_list_failed", step=error.step, peer=error.peer, reason=error.reason)
+    async def _follow_list(self) -> None:
+        while True:
+            try:
+                self.machines = await self.platform.machine_list.machines()
+            except StepError as error:
+                logger.warning("machine_list_failed", step=error.step, peer=error.peer, reason=error.reason)
+            self._share_out()
+            # Until the list has been read once there is nobody to join and nothing to serve.
+            await anyio.sleep(POLL_SECONDS if self.machines else FIRST_POLL_SECONDS)
+
+    def _share_out(self) -> None:
+        """Choose this node's workers anew if the list or the live nodes have changed."""
+        view = (self.machines, self.live_nodes())
+        if view == self._shared_out:
             return
+        self._shared_out = view
         for role, report in self._report_functions().items():
             groups = {machine.group for machine in self.machines if machine.role is role}
             for name in sorted(groups):
@@ -87,6 +101,6 @@
         members = tuple(
             machine for machine in self.machines if machine.role is role and machine.group == name
         )
-        pool.set_machines(members, max(1, len(self.node_addresses())))
+        pool.set_machines(members, self.live_nodes())
         if is_new and self._group is not None:
             self._group.start_soon(pool.run)
--- a/src/worksramp/node/node.py
+++ b/src/worksramp/node/node.py
@@ -105,7 +105,12 @@
             platform.log, self.peers, self.membership, VALIDATORS, self._rng, self._take_document
         )
         self.directory = MachineDirectory(
-            platform, settings.node_id, settings.zone, settings.subset_size, self._rng
+            platform,
+            identity.instance_id,
+            settings.zone,
+            settings.subset_size,
+            self._rng,
+            lambda: self.membership.eligible(Role.GATEWAY.value),
         )
         self.membership_service = MembershipService(
             self.membership, transport, self.directory.node_addresses, self._pull_configuration
--- a/src/worksramp/routing/pool.py
+++ b/src/worksramp/routing/pool.py
@@ -1,6 +1,5 @@
 """Shell around a worker table: keep leases fresh by asking for load reports, and pick workers."""
 
-import math
 import random
 from collections.abc import Awaitable, Callable, Iterator
 from contextlib import contextmanager
@@ -11,7 +10,7 @@
 from worksramp.platform.base import Machine, WorkerReport
 from worksramp.routing.choice import RouteRequest, choose_worker
 from worksramp.routing.leases import Worker, WorkerTable
-from worksramp.routing.subset import choose_subset
+from worksramp.routing.subset import choose_subset, num_nodes_per_worker
 
 # One lost report must not end a lease: two periods and a timeout fit into it.
 REPORT_PERIOD_SECONDS = 2.0
@@ -24,10 +23,10 @@
     """The workers of one group that this node uses.
 
     Args:
-        node_id: seeds the subset, so that nodes spread over workers.
+        node_id: this node, among those that share the workers.
         zone: this node's zone.
         ask_report: asks one address for its load report.
-        subset_size: at most so many workers are used by this node.
+        subset_size: workers that a node uses on average.
         rng: source of the two random choices.
     """
 
@@ -41,15 +40,16 @@
         self._subset_size = subset_size
         self._rng = rng
 
-    def set_machines(self, machines: tuple[Machine, ...], num_nodes: int = 1) -> None:
-        """Take the machine list's view of the group, reduced to this node's subset.
+    def set_machines(self, machines: tuple[Machine, ...], node_ids: frozenset[str] = frozenset()) -> None:
+        """Take the machine list's view of the group, reduced to the workers given to this node.
 
         Args:
-            num_nodes: how many nodes choose subsets of the same group.
+            node_ids: live nodes that share the group, whether or not this one stands among them.
         """
-        chosen = choose_subset(self._node_id, machines, self._subset_size)
-        self.table.set_machines(chosen)
-        self.table.num_sharers = max(1, math.ceil(num_nodes * len(chosen) / max(1, len(machines))))
+        num_nodes = len(node_ids | {self._node_id})
+        num_per_worker = num_nodes_per_worker(num_nodes, len(machines), self._subset_size)
+        self.table.set_machines(choose_subset(self._node_id, node_ids, machines, num_per_worker))
+        self.table.num_sharers = num_per_worker
 
     def choose(self, request: RouteRequest) -> Worker | None:
         """Return a worker that may be given this request now, if there is one."""
