The experiments' length bias compares with the lengths that were asked for

Cause: for worksramp's own policies the figure compared the delivered lengths with themselves and so could only be 1; the baselines were compared rightly. It now compares with the first attempts of as many samples from the start of the plan.

--- a/src/worksramp/rollout/job_service.py
+++ b/src/worksramp/rollout/job_service.py
@@ -42,6 +42,7 @@
 COMMIT_PATIENCE_SECONDS = 5.0
 RETRY_AFTER_SECONDS = 0.5
 SEED_MODULUS = 2**31
+SEEDS_PER_SAMPLE = 1000
 
 RunSampleFunction = Callable[[RunSample], Awaitable[SampleReply]]
 logger = structlog.get_logger()
@@ -182,7 +183,7 @@
             fleet=self._fleet,
             model=spec.model,
             prompt=prompt,
-            seed=(index * spec.samples_per_step + attempt) % SEED_MODULUS,
+            seed=sample_seed(index, attempt),
             max_tokens=spec.max_tokens,
             min_weight_version=self._min_weight_version(attempt),
             live_reserved_share=self._live_reserved_share,
@@ -283,6 +284,11 @@
         raise StepError("job.read_sample", self._replica.stream, f"sample {index} is not at offset {offset}")
 
 
+def sample_seed(index: int, attempt: int) -> int:
+    """Return the sampling seed of one attempt at a sample."""
+    return (index * SEEDS_PER_SAMPLE + attempt) % SEED_MODULUS
+
+
 def plan_period_seconds(spec: JobSpec) -> float:
     """Return how long to wait between two looks at the sample plan.
 
--- a/src/worksramp_emulator/experiments.py
+++ b/src/worksramp_emulator/experiments.py
@@ -26,6 +26,7 @@
 from worksramp.logs import configure_logs
 from worksramp.platform.base import GenerateRequest, LoadOrder
 from worksramp.rollout.document import Preference
+from worksramp.rollout.job_service import sample_seed
 from worksramp.routing import pool
 from worksramp.routing.choice import RouteRequest
 from worksramp.routing.leases import Worker
@@ -205,7 +206,7 @@
 
     def sample_request(self, index: int, attempt: int) -> GenerateRequest:
         """Return the request of one sample."""
-        prompt = sample_prompt(self.spec, index)
+        prompt = sample_prompt(self.spec.group_size, index)
         seed = self.seed * 1_000_003 + index
         request_id = f"sample-{index}-{attempt}"
         return GenerateRequest(request_id, MODEL, prompt, self.spec.max_tokens, seed, ROLLOUT_PRIORITY)
@@ -243,9 +244,9 @@
         )
 
 
-def sample_prompt(spec: ExperimentSpec, index: int) -> str:
-    """Return the prompt of a sample."""
-    return f"Prompt number {(index // spec.group_size) % NUM_PROMPTS} of the job"
+def sample_prompt(group_size: int, index: int) -> str:
+    """Return the prompt of a sample, as the simulated world has it too."""
+    return f"Prompt number {(index // group_size) % NUM_PROMPTS} of the job"
 
 
 async def live_traffic(
@@ -398,7 +399,12 @@
         idle_share=record.idle_share,
         live_seconds=[event.seconds for event in answered if event.outcome == "completed"],
         elapsed_seconds=anyio.current_time(),
-        planned_lengths=[len(sample.tokens) for sample in samples],
+        planned_lengths=[
+            completion_length(
+                sample_prompt(world.spec.group_size, index), sample_seed(index, 1), world.spec.max_tokens
+            )
+            for index in range(len(samples))
+        ],
     )
 
 
