Texts of samples: bounded in memory, read back from the log in ranges

Cause: the owner held every undelivered text, 76 million tokens at the target size, against 64 MB; and after a change of owner it read a batch's texts one record a request, 8,192 requests.

Change: `rollout/bodies.py` holds at most 500,000 tokens and reads the rest in pages of 256 records. Four new tests: a new owner reads all, a later attempt is not mistaken for an earlier one, memory is bounded, a log that lost a sample is an error. The unit and directed tests pass.

--- /dev/null
+++ b/src/worksramp/rollout/bodies.py
@@ -0,0 +1,108 @@
+"""Texts of finished samples: some in memory, all in the job's log stream.
+
+The fold keeps where each sample stands; an owner that took over, or whose memory is bounded, reads the
+texts back in ranges when a batch is sent.
+"""
+
+from collections import OrderedDict
+from collections.abc import Iterable
+
+import msgspec
+
+from worksramp.coordination.fold import Envelope, Write
+from worksramp.outcomes import StepError
+from worksramp.platform.base import LogClient
+from worksramp.rollout.job import BatchCommitted, JobState, SampleFinished
+
+MAX_CACHED_TOKENS = 500_000
+READ_MAX_RECORDS = 256
+
+
+class SampleBodies:
+    """Finds the texts of a job's finished samples.
+
+    Args:
+        log: the log service.
+        stream: the job's stream.
+        max_cached_tokens: texts beyond it are dropped from memory, the longest held first.
+    """
+
+    def __init__(self, log: LogClient, stream: str, max_cached_tokens: int = MAX_CACHED_TOKENS) -> None:
+        self._log = log
+        self._stream = stream
+        self._max_cached_tokens = max_cached_tokens
+        self._cached: OrderedDict[int, SampleFinished] = OrderedDict()
+        self._num_tokens = 0
+
+    @property
+    def num_cached_tokens(self) -> int:
+        """Tokens held in memory."""
+        return self._num_tokens
+
+    def keep(self, sample: SampleFinished) -> None:
+        """Hold a text in memory, within the bound."""
+        self.drop(sample.index)
+        self._cached[sample.index] = sample
+        self._num_tokens += len(sample.tokens)
+        while self._num_tokens > self._max_cached_tokens:
+            self.drop(next(iter(self._cached)))
+
+    def drop(self, index: int) -> None:
+        """Forget a text."""
+        sample = self._cached.pop(index, None)
+        if sample is not None:
+            self._num_tokens -= len(sample.tokens)
+
+    def drop_taken(self, state: JobState) -> None:
+        """Forget the texts of samples that the trainer has."""
+        for index in [index for index in self._cached if state.is_taken(index)]:
+            self.drop(index)
+
+    async def fetch(self, state: JobState, indices: Iterable[int]) -> list[SampleFinished]:
+        """Return the texts of finished samples, in the order asked for.
+
+        Raises:
+            StepError: the log failed, or does not hold a sample where the fold says.
+        """
+        wanted = list(indices)
+        found = {index: body for index in wanted if (body := self._cached_body(state, index))}
+        missing = {index: state.finished[index].offset for index in wanted if index not in found}
+        while missing:
+            start = min(missing.values())
+            num_missing = len(missing)
+            await self._read_range(state, start, missing, found)
+            if len(missing) == num_missing:
+                raise StepError("job.read_samples", self._stream, f"a sample is not at offset {start}")
+        return [found[index] for index in wanted]
+
+    def _cached_body(self, state: JobState, index: int) -> SampleFinished | None:
+        body = self._cached.get(index)
+        if body is None or body.attempt != state.finished[index].attempt:
+            return None
+        return body
+
+    async def _read_range(
+        self, state: JobState, start: int, missing: dict[int, int], found: dict[int, SampleFinished]
+    ) -> None:
+        """Read one page and move what it holds from ``missing`` to ``found``."""
+        page = await self._log.read(self._stream, start, READ_MAX_RECORDS, 0.0)
+        for record in page.records:
+            for sample in samples_of_record(record):
+                held = state.finished.get(sample.index)
+                if sample.index in missing and held is not None and held.attempt == sample.attempt:
+                    found[sample.index] = sample
+                    del missing[sample.index]
+
+
+def samples_of_record(record: bytes) -> tuple[SampleFinished, ...]:
+    """Return the finished samples that one log record carries; a foreign record carries none."""
+    try:
+        body = msgspec.msgpack.decode(record, type=Envelope).body
+        if not isinstance(body, Write):
+            return ()
+        entries = [
+            msgspec.msgpack.decode(entry, type=SampleFinished | BatchCommitted) for entry in body.entries
+        ]
+    except msgspec.DecodeError:
+        return ()
+    return tuple(entry for entry in entries if isinstance(entry, SampleFinished))
--- a/src/worksramp/rollout/job_service.py
+++ b/src/worksramp/rollout/job_service.py
@@ -13,12 +13,13 @@
 import msgspec
 import structlog
 
-from worksramp.coordination.fold import Accepted, Envelope, Write
+from worksramp.coordination.fold import Accepted
 from worksramp.coordination.peers import encode_entry
 from worksramp.coordination.replica import StreamReplica
 from worksramp.coordination.shard import ShardService
 from worksramp.outcomes import NotStartedError, StepError
 from worksramp.platform.base import LogClient, ScorerClient
+from worksramp.rollout.bodies import SampleBodies
 from worksramp.rollout.document import JobSpec, Preference
 from worksramp.rollout.job import BatchCommitted, JobState, SampleFinished, Segment
 from worksramp.rollout.planner import BatchPlan, NotEnoughSamples, is_batch_fresh, plan_batch, plan_sampling
@@ -106,7 +107,7 @@
         self._scorers = scorers
         self._prompts: tuple[str, ...] = ()
         self._in_flight: set[int] = set()
-        self._bodies: dict[int, DeliveredSample] = {}
+        self._bodies = SampleBodies(log, replica.stream)
         self._asked_version = 0
         self._num_failed = 0
         self._throttle = SampleThrottle(spec.max_in_flight)
@@ -118,7 +119,7 @@
         self._prompts = await read_prompts(self._log, self.spec.prompt_set, self.spec.num_prompts)
         async with anyio.create_task_group() as group:
             while True:
-                self._forget_taken_bodies()
+                self._bodies.drop_taken(self._replica.state)
                 self._start_samples(group)
                 await anyio.sleep(plan_period_seconds(self.spec))
 
@@ -144,6 +145,7 @@
             "num_taken": state.floor + len(state.taken_above),
             "cursor": state.batch.cursor if state.batch else 0,
             "num_failed_tries": self._num_failed,
+            "num_cached_tokens": self._bodies.num_cached_tokens,
         }
 
     def _start_samples(self, group: anyio.abc.TaskGroup) -> None:
@@ -194,7 +196,7 @@
         sample = SampleFinished(index, attempt, prompt, reply.tokens, segments, reward)
         verdict = await self._replica.commit(encode_entry(sample), is_patient=True)
         if isinstance(verdict, Accepted):
-            self._bodies[index] = DeliveredSample(index, attempt, prompt, reply.tokens, segments, reward)
+            self._bodies.keep(sample)
 
     def _min_weight_version(self, attempt: int) -> int:
         """Return the oldest weights that a sample may begin on.
@@ -205,11 +207,6 @@
         room = self.spec.max_staleness if attempt == 1 else 0
         return max(0, self.trainer_version - room)
 
-    def _forget_taken_bodies(self) -> None:
-        state = self._replica.state
-        for index in [index for index in self._bodies if state.is_taken(index)]:
-            del self._bodies[index]
-
     async def _fetch_batch(self, request: FetchBatch) -> NodeReply:
         state = self._replica.state
         if request.trainer_version < self.trainer_version:
@@ -255,33 +252,22 @@
         batch = state.batch
         assert batch is not None
         try:
-            samples = [await self._body(index) for index in batch.indices]
+            samples = await self._bodies.fetch(state, batch.indices)
         except StepError:
             return BatchNotReady(0, RETRY_AFTER_SECONDS)
         if not self._replica.is_owner or not is_batch_fresh(state, self.spec, self.trainer_version):
             return BatchNotReady(0, RETRY_AFTER_SECONDS)
-        delivered = DeliveredBatch(batch.cursor, batch.attempt, self.trainer_version, tuple(samples))
+        delivered = DeliveredBatch(
+            batch.cursor, batch.attempt, self.trainer_version, tuple(map(to_delivered, samples))
+        )
         return BatchReply(msgspec.json.encode(delivered))
 
-    async def _body(self, index: int) -> DeliveredSample:
-        """Return a sample's text, from memory or, after a change of owner, from the log."""
-        held = self._replica.state.finished[index]
-        body = self._bodies.get(index)
-        if body is not None and body.attempt == held.attempt:
-            return body
-        entry = await self._read_sample(held.offset, index, held.attempt)
-        body = DeliveredSample(
-            entry.index, entry.attempt, entry.prompt, entry.tokens, entry.segments, entry.reward
-        )
-        self._bodies[index] = body
-        return body
 
-    async def _read_sample(self, offset: int, index: int, attempt: int) -> SampleFinished:
-        page = await self._log.read(self._replica.stream, offset, 1, 0.0)
-        for sample in samples_of_record(page.records[0]) if page.records else ():
-            if (sample.index, sample.attempt) == (index, attempt):
-                return sample
-        raise StepError("job.read_sample", self._replica.stream, f"sample {index} is not at offset {offset}")
+def to_delivered(sample: SampleFinished) -> DeliveredSample:
+    """Return a finished sample as the trainer gets it."""
+    return DeliveredSample(
+        sample.index, sample.attempt, sample.prompt, sample.tokens, sample.segments, sample.reward
+    )
 
 
 def sample_seed(index: int, attempt: int) -> int:
@@ -295,12 +281,3 @@
     A look costs time in proportion to the samples held; a large step can wait longer for the next.
     """
     return max(MIN_PLAN_PERIOD_SECONDS, PLAN_SECONDS_PER_SAMPLE * spec.samples_per_step)
-
-
-def samples_of_record(record: bytes) -> tuple[SampleFinished, ...]:
-    """Return the finished samples that one log record carries."""
-    body = msgspec.msgpack.decode(record, type=Envelope).body
-    if not isinstance(body, Write):
-        return ()
-    entries = (msgspec.msgpack.decode(entry, type=SampleFinished | BatchCommitted) for entry in body.entries)
-    return tuple(entry for entry in entries if isinstance(entry, SampleFinished))
--- a/src/worksramp_emulator/simulation/mutations.py
+++ b/src/worksramp_emulator/simulation/mutations.py
@@ -17,7 +17,7 @@
 from worksramp.outcomes import ExecutionOutcome, NotRun, OutcomeUnknown
 from worksramp.platform.base import GenerationChunk
 from worksramp.rollout.job import Batch, FinishedSample, JobState, SampleFinished
-from worksramp.rollout.job_service import DeliveredBatch, JobService
+from worksramp.rollout.job_service import DeliveredBatch, JobService, to_delivered
 from worksramp.rollout.planner import BatchPlan
 from worksramp.rollout.sampler import SegmentRecorder
 from worksramp.routing import generation
@@ -69,7 +69,8 @@
         async with anyio.create_task_group() as group:
             group.start_soon(commit, self, request, plan, trainer_version, is_again)
             batch = Batch(request.cursor, 1, trainer_version, plan.indices)
-            samples = tuple([await self._body(index) for index in batch.indices])
+            bodies = await self._bodies.fetch(self._replica.state, batch.indices)
+            samples = tuple(map(to_delivered, bodies))
             delivered = DeliveredBatch(batch.cursor, batch.attempt, trainer_version, samples)
             group.cancel_scope.cancel()
         return BatchReply(msgspec.json.encode(delivered))
--- /dev/null
+++ b/tests/unit/test_bodies.py
@@ -0,0 +1,72 @@
+"""Texts of samples come from memory or from the log, and memory is bounded."""
+
+import anyio
+import msgspec
+import pytest
+
+from worksramp.coordination.fold import Claim, Envelope, StreamFold, Write
+from worksramp.outcomes import StepError
+from worksramp.rollout.bodies import READ_MAX_RECORDS, SampleBodies
+from worksramp.rollout.job import JobState, SampleFinished, Segment
+from worksramp_emulator.platform import LogCore
+
+NUM_SAMPLES = READ_MAX_RECORDS + 50
+
+
+def sample(index: int, attempt: int = 1) -> SampleFinished:
+    return SampleFinished(index, attempt, "prompt", (f"w{index}",), (Segment(1, 0, 1),), 0.5)
+
+
+async def written(samples: list[SampleFinished]) -> tuple[LogCore, StreamFold[JobState]]:
+    log, fold = LogCore(), StreamFold(JobState())
+    envelopes = [Envelope(1, "o", Claim())]
+    envelopes += [
+        Envelope(1, "o", Write(number + 1, (msgspec.msgpack.encode(one),)))
+        for number, one in enumerate(samples)
+    ]
+    for offset, envelope in enumerate(envelopes):
+        record = msgspec.msgpack.encode(envelope)
+        await log.append("job", record)
+        fold.apply(offset, record)
+    return log, fold
+
+
+def test_a_new_owner_reads_every_text_from_the_log() -> None:
+    async def main() -> None:
+        log, fold = await written([sample(index) for index in range(NUM_SAMPLES)])
+        bodies = SampleBodies(log, "job")
+        asked = list(reversed(range(NUM_SAMPLES)))
+        assert await bodies.fetch(fold.state, asked) == [sample(index) for index in asked]
+
+    anyio.run(main)
+
+
+def test_a_later_attempt_is_not_mistaken_for_an_earlier_one() -> None:
+    async def main() -> None:
+        log, fold = await written([sample(0), sample(0, attempt=2)])
+        bodies = SampleBodies(log, "job")
+        bodies.keep(sample(0))
+        assert await bodies.fetch(fold.state, [0]) == [sample(0, attempt=2)]
+
+    anyio.run(main)
+
+
+def test_memory_is_bounded_and_what_was_dropped_is_read_again() -> None:
+    async def main() -> None:
+        log, fold = await written([sample(index) for index in range(20)])
+        bodies = SampleBodies(log, "job", max_cached_tokens=5)
+        for index in range(20):
+            bodies.keep(sample(index))
+        assert bodies.num_cached_tokens == 5
+        assert await bodies.fetch(fold.state, range(20)) == [sample(index) for index in range(20)]
+
+    anyio.run(main)
+
+
+def test_a_log_that_lost_a_sample_is_an_error() -> None:
+    async def main() -> None:
+        _, fold = await written([sample(0)])
+        with pytest.raises(StepError):
+            await SampleBodies(LogCore(), "job").fetch(fold.state, [0])
+
+    anyio.run(main)
