A stopping node waits for answers that are still on their way out

Cause: by reading: after the drain the HTTP server was given half a second and then cancelled, so a large batch whose handler had ended could be cut. Now the server's own end is waited for, at most ten seconds. Not shown by a test of its own.

--- a/src/worksramp/node/main.py
+++ b/src/worksramp/node/main.py
@@ -21,7 +21,7 @@
 MAX_CONNECTIONS = 2000
 MAX_KEEPALIVE_CONNECTIONS = 500
 KEEPALIVE_SECONDS = 30.0
-HTTP_SHUTDOWN_SECONDS = 2.0
+HTTP_SHUTDOWN_SECONDS = 10.0
 INSTANCE_SUFFIX_CHARACTERS = 8
 
 logger = structlog.get_logger()
@@ -55,19 +55,21 @@
     config.graceful_timeout = HTTP_SHUTDOWN_SECONDS
     config.accesslog = None
     config.errorlog = None
-    stopped = anyio.Event()
+    stopped, http_ended = anyio.Event(), anyio.Event()
     async with anyio.create_task_group() as group:
         application = make_application(node, group)
         group.start_soon(_stop_on_signal, node, group.cancel_scope)
 
         async def serve_http() -> None:
             await serve(application, config, shutdown_trigger=stopped.wait)  # type: ignore[arg-type]
+            http_ended.set()
 
         group.start_soon(serve_http)
         logger.info("node_started", instance=node.identity.instance_id, listen=node.settings.listen)
         await node.run()
         stopped.set()
-        await anyio.sleep(HTTP_SHUTDOWN_SECONDS / 4)
+        # An answer whose handler has ended may still be on its way out, a large batch above all.
+        await http_ended.wait()
         group.cancel_scope.cancel()
 
 
