Who should own a shard is hashed once a change of members, not twice a second

Cause: by reading, while working out the target: every node sorted all coordinators for every shard each half second.

Change: the preferred node of each shard is remembered until the eligible members change, and the shards are derived anew only when the configuration's offset moves. One more test: the preferred member is the first in order.

--- a/src/worksramp/coordination/placement.py
+++ b/src/worksramp/coordination/placement.py
@@ -20,7 +20,7 @@
 
     Source: Thaler and Ravishankar, "Using name-based mappings to increase hit rates", 1998.
     """
-    return sorted(members, key=lambda member: (-xxhash.xxh64_intdigest(f"{member}|{key}".encode()), member))
+    return sorted(members, key=lambda member: _rank(key, member))
 
 
 class PlacementAction(Enum):
@@ -33,12 +33,22 @@
     RELEASE = auto()
 
 
+def preferred_member(key: str, members: Iterable[str]) -> str:
+    """Return the best member for a key, as `rendezvous_order` has it first; empty without members."""
+    return min(members, key=lambda member: _rank(key, member), default="")
+
+
+def _rank(key: str, member: str) -> tuple[int, str]:
+    return (-xxhash.xxh64_intdigest(f"{member}|{key}".encode()), member)
+
+
 @dataclass(frozen=True, slots=True)
 class PlacementView:
     """What one node knows when it decides about one shard.
 
     Attributes:
         instance_id: this process.
+        preferred: instance id of the node that should own the shard; empty if there is none.
         eligible: instance ids of coordinators believed alive and not leaving, this one included unless
             it is leaving.
         ownership: as folded from the shard's stream; None while the stream is not followed or not
@@ -46,8 +56,8 @@
         misplaced_seconds: how long the shard's living owner has not been the preferred node.
     """
 
-    shard: str
     instance_id: str
+    preferred: str
     eligible: frozenset[str]
     ownership: Ownership | None
     misplaced_seconds: float = 0.0
@@ -61,14 +71,13 @@
     If it does not, the preferred node claims all the same: a claim that landed late can make a node the
     owner of a stream that it no longer follows, and no claim can do harm.
     """
-    order = rendezvous_order(view.shard, view.eligible)
-    is_preferred = bool(order) and order[0] == view.instance_id
+    is_preferred = view.preferred == view.instance_id
     ownership = view.ownership
     if ownership is None:
         return PlacementAction.FOLLOW if is_preferred else PlacementAction.IGNORE
     if ownership.is_held_by(view.instance_id):
         should_hand_over = (
-            not is_preferred and bool(order) and view.misplaced_seconds >= HANDOVER_HOLD_SECONDS
+            not is_preferred and bool(view.preferred) and view.misplaced_seconds >= HANDOVER_HOLD_SECONDS
         )
         return PlacementAction.RELEASE if should_hand_over else PlacementAction.SERVE
     if not is_preferred:
--- a/src/worksramp/node/plans.py
+++ b/src/worksramp/node/plans.py
@@ -46,11 +46,20 @@
     def __init__(self, node: "Node") -> None:
         self.background: anyio.abc.TaskGroup | None = None
         self._node = node
+        self._plans: dict[str, ShardPlan] = {}
+        self._planned_offset = -1
 
     def plans(self) -> dict[str, ShardPlan]:
         """Return all shards; none before the configuration is known."""
         if not self._node.configuration.is_ready:
             return {}
+        offset = self._node.configuration.fold.next_offset
+        if offset != self._planned_offset:
+            self._planned_offset = offset
+            self._plans = self._derive()
+        return self._plans
+
+    def _derive(self) -> dict[str, ShardPlan]:
         plans = [self._ledger_plan(number) for number in range(self._node.settings.num_ledger_shards)]
         for tenant, document in self._node.documents.items():
             for job in document.jobs:
--- a/src/worksramp/node/shards.py
+++ b/src/worksramp/node/shards.py
@@ -14,7 +14,7 @@
     PlacementAction,
     PlacementView,
     decide_placement,
-    rendezvous_order,
+    preferred_member,
 )
 from worksramp.coordination.replica import StreamReplica
 from worksramp.coordination.shard import ShardService
@@ -75,11 +75,14 @@
     plans: Callable[[], dict[str, ShardPlan]]
     is_leaving: bool = False
     _followed: dict[str, _Followed] = field(default_factory=dict)
+    _eligible: frozenset[str] = frozenset()
+    _preferred: dict[str, str] = field(default_factory=dict)
 
     async def run(self) -> None:
         """Look at every shard once a round until cancelled."""
         async with anyio.create_task_group() as group:
             while True:
+                self._note_members()
                 for plan in self.plans().values():
                     self._round(plan, group)
                 self._drop_unplanned()
@@ -139,19 +142,32 @@
             case PlacementAction.IGNORE:
                 self._stop_following(plan.shard)
 
-    def _view(self, shard: str, followed: _Followed | None) -> PlacementView:
+    def _note_members(self) -> None:
+        """Forget who is preferred when the members change; hashing all pairs each round costs too much."""
         eligible = self.membership.eligible(COORDINATOR_ROLE)
+        if eligible != self._eligible:
+            self._eligible = eligible
+            self._preferred = {}
+
+    def _preferred_for(self, shard: str) -> str:
+        preferred = self._preferred.get(shard)
+        if preferred is None:
+            preferred = preferred_member(shard, self._eligible)
+            self._preferred[shard] = preferred
+        return preferred
+
+    def _view(self, shard: str, followed: _Followed | None) -> PlacementView:
+        preferred = self._preferred_for(shard)
         if followed is None or not followed.replica.is_caught_up:
-            return PlacementView(shard, self.instance_id, eligible, None)
+            return PlacementView(self.instance_id, preferred, self._eligible, None)
         ownership = followed.replica.fold.ownership
-        preferred = next(iter(rendezvous_order(shard, eligible)), "")
         if ownership.is_released or ownership.owner == preferred:
             followed.misplaced_since = None
         elif followed.misplaced_since is None:
             followed.misplaced_since = anyio.current_time()
         since = followed.misplaced_since
         seconds = anyio.current_time() - since if since is not None else 0.0
-        return PlacementView(shard, self.instance_id, eligible, ownership, seconds)
+        return PlacementView(self.instance_id, preferred, self._eligible, ownership, seconds)
 
     def _follow(self, plan: ShardPlan, group: anyio.abc.TaskGroup) -> None:
         scope = anyio.CancelScope()
--- a/tests/unit/test_placement.py
+++ b/tests/unit/test_placement.py
@@ -7,6 +7,7 @@
     PlacementAction,
     PlacementView,
     decide_placement,
+    preferred_member,
     rendezvous_order,
 )
 
@@ -15,7 +16,7 @@
 
 
 def view(instance: str, ownership: Ownership | None, seconds: float = 0.0) -> PlacementView:
-    return PlacementView("shard", instance, MEMBERS, ownership, seconds)
+    return PlacementView(instance, PREFERRED, MEMBERS, ownership, seconds)
 
 
 def test_the_preferred_node_claims_from_a_dead_owner() -> None:
@@ -40,3 +41,10 @@
     ownership = Ownership(3, SECOND, False)
     assert decide_placement(view(SECOND, ownership)) is PlacementAction.SERVE
     assert decide_placement(view(SECOND, ownership, HANDOVER_HOLD_SECONDS)) is PlacementAction.RELEASE
+
+
+def test_the_preferred_member_is_the_first_in_order() -> None:
+    for number in range(50):
+        key = f"shard-{number}"
+        assert preferred_member(key, MEMBERS) == rendezvous_order(key, MEMBERS)[0]
+    assert preferred_member("shard", ()) == ""
