Numbers that no codec can carry are refused by name

Cause: by trying: a cursor of 31 digits, a superscript digit, a seed of 2**70 or below 0 and an expected revision of 23 digits were taken in; three ended in an untyped 500 when a codec met them, two were answered as if they were good. Five rows of the bad-input test failed first and pass now: path and query numbers have at most 15 ASCII digits, body numbers are from 0 to 2**53.

--- a/src/worksramp/gateway/callers.py
+++ b/src/worksramp/gateway/callers.py
@@ -20,6 +20,7 @@
     NOT_FOUND,
     UNAVAILABLE,
     ErrorBody,
+    Natural,
     RequestError,
     answering,
     authorize,
@@ -52,7 +53,7 @@
     prompt: str
     max_tokens: int = 256
     stream: bool = False
-    seed: int = 0
+    seed: Natural = 0
 
 
 class Choice(msgspec.Struct):
--- a/src/worksramp/gateway/http.py
+++ b/src/worksramp/gateway/http.py
@@ -4,7 +4,7 @@
 import hmac
 import math
 from collections.abc import Awaitable, Callable
-from typing import TypeVar
+from typing import Annotated, TypeVar
 
 import msgspec
 from starlette.requests import Request
@@ -17,6 +17,7 @@
 
 MAX_BODY_BYTES = 4 * 1024 * 1024
 MAX_DEADLINE_SECONDS = 600.0
+MAX_DIGITS = 15
 DEADLINE_HEADER = "x-deadline-seconds"
 BEARER_PREFIX = "Bearer "
 
@@ -30,6 +31,8 @@
 BAD_GATEWAY = 502
 UNAVAILABLE = 503
 
+# What every codec on the way can carry: JSON numbers are exact up to here.
+Natural = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
 StructT = TypeVar("StructT", bound=msgspec.Struct)
 Handler = Callable[[Request], Awaitable[Response]]
 
@@ -195,6 +198,8 @@
     Raises:
         RequestError: it is not one.
     """
-    if raw is None or not raw.isdigit():
+    if raw is None or not raw.isascii() or not raw.isdigit():
         raise invalid(field, f"{raw!r} is not a whole number")
+    if len(raw) > MAX_DIGITS:
+        raise invalid(field, f"has more than {MAX_DIGITS} digits")
     return int(raw)
--- a/src/worksramp/gateway/operators.py
+++ b/src/worksramp/gateway/operators.py
@@ -23,6 +23,7 @@
     UNAVAILABLE,
     UNPROCESSABLE,
     ErrorBody,
+    Natural,
     RequestError,
     answering,
     authorize,
@@ -43,9 +44,9 @@
     """A configuration change."""
 
     change_id: str
-    expected_revision: int
+    expected_revision: Natural
     document: msgspec.Raw
-    schema_version: int = SCHEMA_VERSION
+    schema_version: Natural = SCHEMA_VERSION
 
 
 class PromptsBody(msgspec.Struct, forbid_unknown_fields=True):
