One tenant's document can neither read another's prompts nor fill every node

Cause: by trying: a job could name any stream of the log as its prompt set, another tenant's prompts among them, or a path into the log's API; num_fleet_cells of 10**9 made every node derive as many shards; a staleness bound of 2**70 could not be written into the log by the job's owner; the scorer need not be an address. Seven rows of the bad-document test failed first and pass now. A prompt set is named by its digest alone, and its stream is made with the tenant's own name; numbers have ranges; the scorer must be ip:port. Left: an operator may still point a scorer at any address; scorers should come from the machine list like other back ends.

--- a/src/worksramp/gateway/operators.py
+++ b/src/worksramp/gateway/operators.py
@@ -32,7 +32,7 @@
     read_struct,
 )
 from worksramp.rollout.document import SCHEMA_VERSION, validate_document
-from worksramp.rollout.prompts import prompt_set_name, write_prompts
+from worksramp.rollout.prompts import prompt_set_name, prompt_stream, write_prompts
 from worksramp.settings import KeyRole
 
 PUBLISH_TIMEOUT_SECONDS = 10.0
@@ -163,8 +163,9 @@
         body = await read_struct(request, PromptsBody)
         if not body.prompts:
             raise invalid("prompts", "must not be empty")
-        name = prompt_set_name(key.tenant, body.prompts)
-        await write_prompts(self._backend.platform.log, name, body.prompts)
+        name = prompt_set_name(body.prompts)
+        stream = prompt_stream(key.tenant, name)
+        await write_prompts(self._backend.platform.log, stream, body.prompts)
         return json_response(PromptSetReply(name, len(body.prompts)))
 
     async def _status(self, request: Request) -> Response:
--- a/src/worksramp/node/plans.py
+++ b/src/worksramp/node/plans.py
@@ -13,6 +13,7 @@
 from worksramp.rollout.document import JobSpec, TenantDocument, group_name, resolve_job
 from worksramp.rollout.job import JobState
 from worksramp.rollout.job_service import JobService
+from worksramp.rollout.prompts import prompt_stream
 from worksramp.transport.messages import AnnounceVersion, NodeReply
 from worksramp.weights.fleet_service import EmptyState, FleetService
 from worksramp.weights.planner import cell_of
@@ -65,7 +66,7 @@
             for job in document.jobs:
                 spec = resolve_job(document, job)
                 fleet = group_name(tenant, document.models[spec.model])
-                plans.append(self._job_plan(job_shard(tenant, job), spec, fleet, document))
+                plans.append(self._job_plan(tenant, job, spec, fleet, document))
             for model, fleet_name in document.models.items():
                 plans += self._fleet_plans(model, group_name(tenant, fleet_name), document.num_fleet_cells)
         return {plan.shard: plan for plan in plans}
@@ -88,14 +89,19 @@
             shard, "", lambda: self._replica(shard, LedgerState(), LEDGER_SNAPSHOT_EVERY), make_service
         )
 
-    def _job_plan(self, shard: str, spec: JobSpec, fleet: str, document: TenantDocument) -> ShardPlan:
+    def _job_plan(
+        self, tenant: str, job: str, spec: JobSpec, fleet: str, document: TenantDocument
+    ) -> ShardPlan:
+        shard = job_shard(tenant, job)
         platform = self._node.platform
+        prompts = prompt_stream(tenant, spec.prompt_set)
 
         def make_service(replica: AnyReplica) -> JobService:
             return JobService(
                 replica,
                 spec,
                 fleet,
+                prompts,
                 document.preference,
                 document.live_reserved_share,
                 self._node.run_sample,
--- a/src/worksramp/rollout/document.py
+++ b/src/worksramp/rollout/document.py
@@ -9,10 +9,21 @@
 
 import msgspec
 
+from worksramp.addresses import reason_bad_address
 from worksramp.coordination.configuration import Invalid
 
 SCHEMA_VERSION = 1
-MAX_SAMPLES_PER_STEP = 65_536
+# Bounds that keep one document from filling the memory of every node.
+DOCUMENT_RANGES = {"max_live_concurrency": (1, 1_000_000), "num_fleet_cells": (1, 4096)}
+SPEC_RANGES = {
+    "num_prompts": (1, 1_000_000),
+    "group_size": (1, 1024),
+    "samples_per_step": (1, 65_536),
+    "max_tokens": (1, 131_072),
+    "max_in_flight": (1, 65_536),
+    "max_staleness": (0, 1_000_000),
+}
+PROMPT_SET_PATTERN = re.compile(r"^[0-9a-f]{32}$")
 NAME_PATTERN = re.compile(r"^[a-z0-9][a-z0-9-]{0,62}$")
 _ERROR_PATH = re.compile(r" - at `\$(?P<path>[^`]*)`$")
 
@@ -29,7 +40,7 @@
 
     Attributes:
         model: name of the model, one of the document's ``models``.
-        prompt_set: stream of prompts, as `prompt_set_name` gives it.
+        prompt_set: name of a stored prompt set of this tenant.
         num_prompts: prompts in the set; sample i uses prompt ``(i // group_size) % num_prompts``.
         scorer: address of the scoring service.
         max_staleness: most weight versions between a sample's oldest token and its trainer.
@@ -109,12 +120,11 @@
     for name in (*document.models, *document.models.values(), *document.templates, *document.jobs):
         if not NAME_PATTERN.match(name):
             return Invalid(name, "a name has 1 to 63 of a-z, 0-9 and -, not beginning with -")
-    if document.max_live_concurrency < 1:
-        return Invalid("max_live_concurrency", "must be at least 1")
+    for field, (lowest, highest) in DOCUMENT_RANGES.items():
+        if not lowest <= getattr(document, field) <= highest:
+            return Invalid(field, f"must be from {lowest} to {highest}")
     if not 0.0 <= document.live_reserved_share < 1.0:
         return Invalid("live_reserved_share", "must be at least 0 and below 1")
-    if document.num_fleet_cells < 1:
-        return Invalid("num_fleet_cells", "must be at least 1")
     for name in document.jobs:
         problem = _validate_job(document, name)
         if problem is not None:
@@ -136,17 +146,15 @@
 
 
 def _validate_spec(path: str, spec: JobSpec) -> Invalid | None:
-    at_least_one = ("num_prompts", "group_size", "samples_per_step", "max_tokens", "max_in_flight")
-    for field in at_least_one:
-        if getattr(spec, field) < 1:
-            return Invalid(f"{path}.{field}", "must be at least 1")
-    if spec.max_staleness < 0:
-        return Invalid(f"{path}.max_staleness", "must not be negative")
-    if spec.samples_per_step > MAX_SAMPLES_PER_STEP:
-        return Invalid(f"{path}.samples_per_step", f"must be at most {MAX_SAMPLES_PER_STEP}")
+    for field, (lowest, highest) in SPEC_RANGES.items():
+        if not lowest <= getattr(spec, field) <= highest:
+            return Invalid(f"{path}.{field}", f"must be from {lowest} to {highest}")
     if spec.samples_per_step % spec.group_size != 0:
         return Invalid(f"{path}.samples_per_step", "must be a multiple of group_size")
-    return None
+    if not PROMPT_SET_PATTERN.match(spec.prompt_set):
+        return Invalid(f"{path}.prompt_set", "must be a name as storing the prompts gave it")
+    reason = reason_bad_address(spec.scorer)
+    return Invalid(f"{path}.scorer", reason) if reason is not None else None
 
 
 def _from_error(prefix: str, error: msgspec.DecodeError) -> Invalid:
--- a/src/worksramp/rollout/job_service.py
+++ b/src/worksramp/rollout/job_service.py
@@ -81,6 +81,7 @@
         replica: the job's stream.
         spec: the job's settings.
         fleet: group of engines that serve its model.
+        prompts: stream of its prompt set.
         preference: which figure the sample plan favours.
         live_reserved_share: share of each engine's slots left to live requests.
         run_sample: generates one completion on some node.
@@ -91,6 +92,7 @@
         replica: StreamReplica[JobState],
         spec: JobSpec,
         fleet: str,
+        prompts: str,
         preference: Preference,
         live_reserved_share: float,
         run_sample: RunSampleFunction,
@@ -99,6 +101,7 @@
     ) -> None:
         self.spec = spec
         self._fleet = fleet
+        self._prompt_stream = prompts
         self._live_reserved_share = live_reserved_share
         self.preference = preference
         self._replica = replica
@@ -116,7 +119,7 @@
 
     async def run(self) -> None:
         """Read the prompts, then keep samples in flight until cancelled."""
-        self._prompts = await read_prompts(self._log, self.spec.prompt_set, self.spec.num_prompts)
+        self._prompts = await read_prompts(self._log, self._prompt_stream, self.spec.num_prompts)
         async with anyio.create_task_group() as group:
             while True:
                 self._bodies.drop_taken(self._replica.state)
--- a/src/worksramp/rollout/prompts.py
+++ b/src/worksramp/rollout/prompts.py
@@ -19,19 +19,23 @@
     text: str
 
 
-def prompt_set_name(tenant: str, prompts: tuple[str, ...]) -> str:
-    """Return the stream name of a prompt set."""
-    digest = xxhash.xxh3_128_hexdigest("\x00".join(prompts).encode())
-    return f"prompts.{tenant}.{digest}"
+def prompt_set_name(prompts: tuple[str, ...]) -> str:
+    """Return the name of a prompt set, a digest of its content."""
+    return xxhash.xxh3_128_hexdigest("\x00".join(prompts).encode())
 
 
-async def write_prompts(log: LogClient, name: str, prompts: tuple[str, ...]) -> None:
+def prompt_stream(tenant: str, name: str) -> str:
+    """Return the stream of a tenant's prompt set; no tenant can name another's."""
+    return f"prompts.{tenant}.{name}"
+
+
+async def write_prompts(log: LogClient, stream: str, prompts: tuple[str, ...]) -> None:
     """Append a prompt set."""
     for index, text in enumerate(prompts):
-        await log.append(name, msgspec.msgpack.encode(Prompt(index, text)))
+        await log.append(stream, msgspec.msgpack.encode(Prompt(index, text)))
 
 
-async def read_prompts(log: LogClient, name: str, num_prompts: int) -> tuple[str, ...]:
+async def read_prompts(log: LogClient, stream: str, num_prompts: int) -> tuple[str, ...]:
     """Read a whole prompt set.
 
     Raises:
@@ -40,9 +44,9 @@
     found: dict[int, str] = {}
     start = 0
     while len(found) < num_prompts:
-        page = await log.read(name, start, PAGE_RECORDS, 0.0)
+        page = await log.read(stream, start, PAGE_RECORDS, 0.0)
         if not page.records:
-            raise StepError("prompts.read", name, f"{len(found)} of {num_prompts} prompts are there")
+            raise StepError("prompts.read", stream, f"{len(found)} of {num_prompts} prompts are there")
         for record in page.records:
             prompt = msgspec.msgpack.decode(record, type=Prompt)
             found.setdefault(prompt.index, prompt.text)
--- a/src/worksramp/settings.py
+++ b/src/worksramp/settings.py
@@ -3,7 +3,6 @@
 A wrong key, type, address or unit stops the start with the file, the path in it and the reason.
 """
 
-import ipaddress
 import re
 import tomllib
 from enum import StrEnum
@@ -11,9 +10,9 @@
 
 import msgspec
 
+from worksramp.addresses import reason_bad_address
 from worksramp.routing.subset import DEFAULT_SUBSET_SIZE
 
-MAX_PORT = 65535
 SHA256_PATTERN = re.compile(r"^[0-9a-f]{64}$")
 ZONE_PATTERN = re.compile(r"^[a-z0-9][a-z0-9-]{0,62}$")
 
@@ -126,7 +125,7 @@
         "platform.machine_list": settings.platform.machine_list,
     }
     for path, address in addresses.items():
-        reason = _reason_bad_address(address)
+        reason = reason_bad_address(address)
         if reason is not None:
             raise SettingsError(file, path, reason)
     if not ZONE_PATTERN.match(settings.zone):
@@ -143,16 +142,3 @@
     for path in ("num_ledger_shards", "subset_size", "drain_seconds", "default_deadline_seconds"):
         if getattr(settings, path) <= 0:
             raise SettingsError(file, path, "must be greater than 0")
-
-
-def _reason_bad_address(address: str) -> str | None:
-    host, separator, port = address.rpartition(":")
-    if not separator:
-        return f"{address!r} is not ip:port"
-    try:
-        ipaddress.ip_address(host.strip("[]"))
-    except ValueError:
-        return f"{host!r} is not an IP number"
-    if not port.isdigit() or not 0 < int(port) <= MAX_PORT:
-        return f"{port!r} is not a port from 1 to {MAX_PORT}"
-    return None
--- a/src/worksramp_emulator/simulation/world.py
+++ b/src/worksramp_emulator/simulation/world.py
@@ -14,7 +14,7 @@
 from worksramp.outcomes import NotStartedError, StepError
 from worksramp.platform.base import GenerateRequest, Machine, MachineRole
 from worksramp.rollout.document import TenantDocument, group_name
-from worksramp.rollout.prompts import prompt_set_name, write_prompts
+from worksramp.rollout.prompts import prompt_set_name, prompt_stream, write_prompts
 from worksramp_emulator.engine import EngineCore
 from worksramp_emulator.platform import ApplicationCore, LogCore, MachineListCore, WeightStoreCore
 from worksramp_emulator.simulation.clients import PlatformCores
@@ -100,8 +100,8 @@
         for slot in self.slots:
             self.start_node(slot)
         prompts = tuple(f"Prompt number {number} of the job" for number in range(8))
-        name = prompt_set_name(TENANT, prompts)
-        await write_prompts(self.cores.log, name, prompts)
+        name = prompt_set_name(prompts)
+        await write_prompts(self.cores.log, prompt_stream(TENANT, name), prompts)
         self.cores.store.publish(MODEL, 1)
         await self._publish_first(tenant_document(self.spec, name, len(prompts)))
         self.group.start_soon(self._observe)
--- a/src/worksramp_emulator/simulation/world_spec.py
+++ b/src/worksramp_emulator/simulation/world_spec.py
@@ -53,7 +53,7 @@
         model=MODEL,
         prompt_set=prompt_set,
         num_prompts=num_prompts,
-        scorer="scorer",
+        scorer="10.0.1.4:1",
         max_staleness=spec.max_staleness,
         group_size=spec.group_size,
         samples_per_step=spec.samples_per_step,
--- a/tests/unit/test_configuration.py
+++ b/tests/unit/test_configuration.py
@@ -10,7 +10,7 @@
 
 JOB = {
     "model": "m",
-    "prompt_set": "p",
+    "prompt_set": "0" * 32,
     "num_prompts": 1,
     "scorer": "127.0.0.1:1",
     "max_staleness": 1,
@@ -19,6 +19,15 @@
 }
 
 
+def with_parameters(**parameters: object) -> dict[str, object]:
+    """Return a document that is good but for the parameters."""
+    return {
+        "models": {"m": "f"},
+        "templates": {"t": JOB},
+        "jobs": {"j": {"template": "t", "parameters": parameters}},
+    }
+
+
 def record(change_id: str, expected: int, document: object = None, version: int = 1) -> bytes:
     body = msgspec.json.encode(document or {})
     return msgspec.msgpack.encode(Publish(change_id, "tenant", expected, version, body))
@@ -71,22 +80,15 @@
         ({"models": {"m": "UPPER"}}, "UPPER"),
         ({"jobs": {"j": {"template": "none"}}}, "jobs.j.template"),
         ({"templates": {"t": JOB}, "jobs": {"j": {"template": "t"}}}, "jobs.j.model"),
-        (
-            {
-                "models": {"m": "f"},
-                "templates": {"t": JOB},
-                "jobs": {"j": {"template": "t", "parameters": {"samples_per_step": 3}}},
-            },
-            "jobs.j.samples_per_step",
-        ),
-        (
-            {
-                "models": {"m": "f"},
-                "templates": {"t": JOB},
-                "jobs": {"j": {"template": "t", "parameters": {"group_size": "two"}}},
-            },
-            "jobs.j.parameters.group_size",
-        ),
+        (with_parameters(samples_per_step=3), "jobs.j.samples_per_step"),
+        (with_parameters(group_size="two"), "jobs.j.parameters.group_size"),
+        (with_parameters(max_staleness=2**70), "jobs.j.max_staleness"),
+        (with_parameters(num_prompts=2**40), "jobs.j.num_prompts"),
+        (with_parameters(prompt_set="../configuration"), "jobs.j.prompt_set"),
+        (with_parameters(prompt_set="prompts.other." + "0" * 32), "jobs.j.prompt_set"),
+        (with_parameters(scorer="scorer"), "jobs.j.scorer"),
+        ({"num_fleet_cells": 10**9}, "num_fleet_cells"),
+        ({"max_live_concurrency": 2**70}, "max_live_concurrency"),
     ],
 )
 def test_a_bad_document_names_the_field(document: object, path: str) -> None:
@@ -96,6 +98,10 @@
     assert problem.reason
 
 
+def test_a_good_document_is_good() -> None:
+    assert validate_document(msgspec.json.encode(with_parameters())) is None
+
+
 def test_a_record_needs_copies_and_a_start_needs_answers_that_must_meet() -> None:
     # Of n live nodes, c hold a record; a starting node hears from a of the n - 1 others: they meet.
     for num_live in range(2, 50):
--- a/tests/unit/test_job_service.py
+++ b/tests/unit/test_job_service.py
@@ -33,7 +33,9 @@
         return SampleReply(("w",), (SegmentReply(version[0], 0, 1),))
 
     replica = StreamReplica(log, "job", JobState(), "me")
-    service = JobService(replica, SPEC, "fleet", Preference.IDLE_TIME, 0.5, run_sample, log, ScorerCore())
+    service = JobService(
+        replica, SPEC, "fleet", "prompts", Preference.IDLE_TIME, 0.5, run_sample, log, ScorerCore()
+    )
     async with anyio.create_task_group() as group:
         group.start_soon(replica.run)
         assert await replica.claim()
