A former owner's void record is not read back as the accepted sample

Cause: since texts are read from the log in ranges, a text was matched by index and attempt; a former owner's void record can name both, and stood before the accepted one in the page. The trainer got a sample four versions old under a bound of two. Ruled out: the fold (it held the right offset and versions). The new unit test failed first; now the offset decides.

--- a/src/worksramp/rollout/bodies.py
+++ b/src/worksramp/rollout/bodies.py
@@ -86,10 +86,13 @@
     ) -> None:
         """Read one page and move what it holds from ``missing`` to ``found``."""
         page = await self._log.read(self._stream, start, READ_MAX_RECORDS, 0.0)
-        for record in page.records:
+        for position, record in enumerate(page.records):
             for sample in samples_of_record(record):
                 held = state.finished.get(sample.index)
-                if sample.index in missing and held is not None and held.attempt == sample.attempt:
+                if held is None or held.attempt != sample.attempt:
+                    continue
+                # The offset decides: a former owner's void record may name the same sample and attempt.
+                if missing.get(sample.index) == page.start + position:
                     found[sample.index] = sample
                     del missing[sample.index]
 
--- a/tests/unit/test_bodies.py
+++ b/tests/unit/test_bodies.py
@@ -70,3 +70,18 @@
             await SampleBodies(LogCore(), "job").fetch(fold.state, [0])
 
     anyio.run(main)
+
+
+def test_a_void_record_of_a_former_owner_is_not_mistaken_for_the_accepted_one() -> None:
+    async def main() -> None:
+        log, fold = await written([sample(1)])
+        stale = SampleFinished(0, 1, "prompt", ("stale",), (Segment(0, 0, 1),), 0.1)
+        for envelope in (
+            Envelope(0, "former", Write(1, (msgspec.msgpack.encode(stale),))),
+            Envelope(1, "o", Write(2, (msgspec.msgpack.encode(sample(0)),))),
+        ):
+            record = msgspec.msgpack.encode(envelope)
+            fold.apply(await log.append("job", record), record)
+        assert await SampleBodies(log, "job").fetch(fold.state, [0, 1]) == [sample(0), sample(1)]
+
+    anyio.run(main)
