A sample whose reply is lost no longer holds its place for ten minutes

Cause: a job's owner waited up to 600 s for another node's reply. Ruled out: the engines (idle), ownership and the log (caught up), the plan (5 of 16 samples finished).

Change: the owner asks the node every 15 s whether it still runs the sample; a no, or no answer, ends the call and the sample starts again. Ruled out: a shorter timeout, since the longest samples take minutes.

--- a/src/worksramp/node/node.py
+++ b/src/worksramp/node/node.py
@@ -30,6 +30,7 @@
 from worksramp.transport.messages import (
     AnnounceVersion,
     CallFailed,
+    CheckSample,
     DescribeShard,
     ExecuteOnce,
     FetchBatch,
@@ -38,6 +39,7 @@
     PullConfiguration,
     PushConfiguration,
     RunSample,
+    SampleChecked,
     SampleReply,
     decode_request,
     encode_message,
@@ -46,6 +48,8 @@
 ShardRequest = ExecuteOnce | FetchBatch | DescribeShard | AnnounceVersion
 VALIDATORS = {SCHEMA_VERSION: validate_document}
 SAMPLE_TIMEOUT_SECONDS = 600.0
+SAMPLE_CHECK_SECONDS = 15.0
+CHECK_TIMEOUT_SECONDS = 5.0
 DRAIN_POLL_SECONDS = 0.1
 LEAVE_SPREAD_SECONDS = 0.5
 MILLISECONDS = 1000
@@ -119,6 +123,7 @@
         self.shards = ShardManager(identity.instance_id, self.membership, self.planner.plans)
         self.live = LiveTraffic(platform, self.directory.pool, self._max_live_concurrency)
         self._sample_budget = RetryBudget()
+        self._running_samples: set[str] = set()
         self._scope = anyio.CancelScope()
 
     @property
@@ -187,6 +192,8 @@
                 return self.configuration.take_push(request)
             case PullConfiguration():
                 return self.configuration.answer_pull(request)
+            case CheckSample():
+                return SampleChecked(request.request_id in self._running_samples)
             case RunSample():
                 return await self._run_sample_here(request)
             case ExecuteOnce() | FetchBatch() | DescribeShard() | AnnounceVersion():
@@ -207,7 +214,7 @@
         if choice == len(others):
             reply = await self._run_sample_here(request)
         else:
-            reply = await self.peers.call(others[choice].address, request, SAMPLE_TIMEOUT_SECONDS)
+            reply = await self._run_sample_there(others[choice].address, request)
         if isinstance(reply, SampleReply):
             return reply
         if isinstance(reply, CallFailed):
@@ -215,6 +222,44 @@
             raise kind(reply.step, reply.peer, reply.reason)
         raise StepError("node.run_sample", self.settings.node_id, f"unexpected {type(reply).__name__}")
 
+    async def _run_sample_there(self, address: str, request: RunSample) -> NodeReply:
+        """Have another node generate a sample, and ask now and then whether it still does.
+
+        A reply lost on a connection that looks whole would otherwise hold the sample's place for as
+        long as the longest sample may take.
+
+        Raises:
+            StepError: the call failed, or the node no longer runs the sample.
+        """
+        replies: list[NodeReply] = []
+        errors: list[StepError] = []
+
+        async def call() -> None:
+            try:
+                replies.append(await self.peers.call(address, request, SAMPLE_TIMEOUT_SECONDS))
+            except StepError as error:
+                errors.append(error)
+            group.cancel_scope.cancel()
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(call)
+            while await self._is_sample_running(address, request.request_id):
+                continue
+            group.cancel_scope.cancel()
+        if replies:
+            return replies[0]
+        lost = InterruptedStepError("node.run_sample", address, "the node no longer runs the sample")
+        raise errors[0] if errors else lost
+
+    async def _is_sample_running(self, address: str, request_id: str) -> bool:
+        """Wait for the time of a check and make it; a check without an answer counts as a no."""
+        await anyio.sleep(SAMPLE_CHECK_SECONDS)
+        try:
+            reply = await self.peers.call(address, CheckSample(request_id), CHECK_TIMEOUT_SECONDS)
+        except StepError:
+            return False
+        return isinstance(reply, SampleChecked) and reply.is_running
+
     async def dispatch_application(self, request: ExecuteOnce) -> ApplicationReply:
         """Send a keyed request to one application worker; another only if the first did not begin."""
         call = ApplicationRequest(request.key, request.method, request.path, request.body)
@@ -227,7 +272,11 @@
         if pool is None:
             reason = f"no engine of fleet {request.fleet!r} is listed"
             return CallFailed("node.run_sample", self.settings.node_id, reason, is_not_started=True)
-        return await run_sample(request, pool, self.platform.engines, self._sample_budget)
+        self._running_samples.add(request.request_id)
+        try:
+            return await run_sample(request, pool, self.platform.engines, self._sample_budget)
+        finally:
+            self._running_samples.discard(request.request_id)
 
     async def _pull_configuration(self, address: str) -> None:
         await self.configuration.pull_from(address)
--- a/src/worksramp/transport/messages.py
+++ b/src/worksramp/transport/messages.py
@@ -44,6 +44,18 @@
     live_reserved_share: float
 
 
+class CheckSample(msgspec.Struct, frozen=True, tag="check_sample"):
+    """Ask whether a `RunSample` is still running there."""
+
+    request_id: str
+
+
+class SampleChecked(msgspec.Struct, frozen=True, tag="sample_checked"):
+    """Answer to `CheckSample`."""
+
+    is_running: bool
+
+
 class PushConfiguration(msgspec.Struct, frozen=True, tag="push_configuration"):
     """Records of the configuration stream that the sender holds."""
 
@@ -80,6 +92,7 @@
     ExecuteOnce
     | FetchBatch
     | RunSample
+    | CheckSample
     | PushConfiguration
     | PullConfiguration
     | DescribeShard
@@ -192,6 +205,7 @@
     | BatchNotReady
     | BatchRefused
     | SampleReply
+    | SampleChecked
     | ConfigurationRecords
     | ConfigurationHeld
     | ShardDescription
