The experiments module split: specification, baselines, runs

What an experiment consists of, the policies that worksramp is measured against and the running are modules of their own; nothing else changed.

--- a/src/worksramp_emulator/cli.py
+++ b/src/worksramp_emulator/cli.py
@@ -10,7 +10,8 @@
 
 from worksramp.platform.base import Machine
 from worksramp_emulator.engine import EngineCore, EngineProfile
-from worksramp_emulator.experiments import load_experiments, plot, run_experiments, write_csv
+from worksramp_emulator.experiment_spec import load_experiments
+from worksramp_emulator.experiments import plot, run_experiments, write_csv
 from worksramp_emulator.hollow import read_addresses, run_hollow_engines, run_hollow_nodes
 from worksramp_emulator.http_apps import (
     application_application,
