--- a/scripts/bench.py
+++ b/scripts/bench.py
@@ -21,7 +21,7 @@
 from deployment import API_KEYS, ROOT, Deployment, free_addresses, load_example
 from prometheus_client.parser import text_string_to_metric_families
 
-from worksramp.platform.base import Machine, MachineRole
+from worksramp.backends.base import Machine, MachineRole
 from worksramp.settings import NodeSettings, PlatformSettings, Role
 from worksramp_emulator.load import LoadTarget, run_completions, run_keyed_calls
 
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -13,8 +13,8 @@
 import msgspec
 from deployment import API_KEYS, Deployment
 
-from worksramp.platform.base import GenerateRequest, GenerationChunk
-from worksramp.platform.http import HttpEngineClient
+from worksramp.backends.base import GenerateRequest, GenerationChunk
+from worksramp.backends.http import HttpEngineClient
 from worksramp_emulator.engine import TokenRun
 from worksramp_emulator.load import LoadTarget, count_runs, run_completions, run_keyed_calls
 from worksramp_emulator.text import whole_completion
--- a/scripts/deployment.py
+++ b/scripts/deployment.py
@@ -15,7 +15,7 @@
 import httpx
 import msgspec
 
-from worksramp.platform.base import Machine, MachineRole
+from worksramp.backends.base import Machine, MachineRole
 from worksramp.rollout.document import group_name
 
 BIN = Path(sys.executable).parent
--- a/src/worksramp/platform/base.py
+++ b/src/worksramp/backends/base.py
@@ -1,6 +1,6 @@
 """Abstract clients of the outside systems and the data they exchange.
 
-Each class has an HTTP implementation (`worksramp.platform.http`) and an in-process twin in the
+Each class has an HTTP implementation (`worksramp.backends.http`) and an in-process twin in the
 emulator. Implementations raise `NotStartedError` only when the other side certainly did not begin.
 
 See Also:
--- a/src/worksramp/platform/http.py
+++ b/src/worksramp/backends/http.py
@@ -13,7 +13,7 @@
 from prometheus_client import Counter
 
 from worksramp.outcomes import InterruptedStepError, NotStartedError
-from worksramp.platform.base import (
+from worksramp.backends.base import (
     ApplicationClient,
     ApplicationReply,
     ApplicationRequest,
--- a/src/worksramp/coordination/configuration_service.py
+++ b/src/worksramp/coordination/configuration_service.py
@@ -25,7 +25,7 @@
 from worksramp.coordination.peers import PeerCaller
 from worksramp.coordination.replication import StagedRecords, num_answers_needed, num_copies_needed
 from worksramp.outcomes import StepError
-from worksramp.platform.base import LogClient
+from worksramp.backends.base import LogClient
 from worksramp.transport.messages import (
     ConfigurationHeld,
     ConfigurationRecords,
--- a/src/worksramp/coordination/ledger_service.py
+++ b/src/worksramp/coordination/ledger_service.py
@@ -36,7 +36,7 @@
     OutcomeUnknown,
     StepError,
 )
-from worksramp.platform.base import ApplicationReply
+from worksramp.backends.base import ApplicationReply
 from worksramp.transport.messages import ExecuteOnce, NodeReply, NodeRequest, NotOwner, to_execute_reply
 
 RETRY_AFTER_SECONDS = 2.0
--- a/src/worksramp/coordination/replica.py
+++ b/src/worksramp/coordination/replica.py
@@ -27,7 +27,7 @@
     take_snapshot,
 )
 from worksramp.outcomes import NotStartedError, StepError
-from worksramp.platform.base import LogClient
+from worksramp.backends.base import LogClient
 
 TAIL_WAIT_SECONDS = 10.0
 TAIL_MAX_RECORDS = 512
--- a/src/worksramp/gateway/backend.py
+++ b/src/worksramp/gateway/backend.py
@@ -5,7 +5,7 @@
 from worksramp.coordination.configuration_service import ConfigurationService
 from worksramp.coordination.membership import Membership
 from worksramp.gateway.live import LiveTraffic
-from worksramp.platform.base import Platform
+from worksramp.backends.base import Platform
 from worksramp.rollout.document import TenantDocument
 from worksramp.settings import NodeSettings
 from worksramp.transport.messages import DescribeShard, ExecuteOnce, FetchBatch, NodeReply
--- a/src/worksramp/gateway/callers.py
+++ b/src/worksramp/gateway/callers.py
@@ -33,7 +33,7 @@
     step_error_body,
 )
 from worksramp.outcomes import Completed, ExecutionOutcome, KeyReused, NotRun, OutcomeUnknown, StepError
-from worksramp.platform.base import ApplicationRequest, GenerateRequest, GenerationChunk
+from worksramp.backends.base import ApplicationRequest, GenerateRequest, GenerationChunk
 from worksramp.rollout.document import group_name
 from worksramp.rollout.sampler import SegmentRecorder
 from worksramp.settings import KeyRole
--- a/src/worksramp/gateway/live.py
+++ b/src/worksramp/gateway/live.py
@@ -6,7 +6,7 @@
 import anyio
 
 from worksramp.outcomes import InterruptedStepError, NotStartedError, StepError
-from worksramp.platform.base import (
+from worksramp.backends.base import (
     ApplicationReply,
     ApplicationRequest,
     GenerateRequest,
--- a/src/worksramp/node/machines.py
+++ b/src/worksramp/node/machines.py
@@ -9,7 +9,7 @@
 import structlog
 
 from worksramp.outcomes import StepError
-from worksramp.platform.base import Machine, MachineRole, Platform, WorkerReport
+from worksramp.backends.base import Machine, MachineRole, Platform, WorkerReport
 from worksramp.routing.pool import WorkerPool
 
 POLL_SECONDS = 5.0
--- a/src/worksramp/node/main.py
+++ b/src/worksramp/node/main.py
@@ -14,7 +14,7 @@
 from worksramp.gateway.app import make_application
 from worksramp.logs import configure_logs
 from worksramp.node.node import Identity, Node
-from worksramp.platform.http import http_platform
+from worksramp.backends.http import http_platform
 from worksramp.settings import NodeSettings
 from worksramp.transport.tcp import TcpTransport
 
--- a/src/worksramp/node/node.py
+++ b/src/worksramp/node/node.py
@@ -21,7 +21,7 @@
 from worksramp.node.plans import ShardPlanner
 from worksramp.node.shards import ShardManager
 from worksramp.outcomes import InterruptedStepError, NotStartedError, StepError
-from worksramp.platform.base import ApplicationReply, ApplicationRequest, MachineRole, Platform
+from worksramp.backends.base import ApplicationReply, ApplicationRequest, MachineRole, Platform
 from worksramp.rollout.document import SCHEMA_VERSION, TenantDocument, decode_document, validate_document
 from worksramp.rollout.sampler import run_sample
 from worksramp.routing.limits import RetryBudget
--- a/src/worksramp/rollout/bodies.py
+++ b/src/worksramp/rollout/bodies.py
@@ -11,7 +11,7 @@
 
 from worksramp.coordination.fold import Envelope, Write
 from worksramp.outcomes import StepError
-from worksramp.platform.base import LogClient
+from worksramp.backends.base import LogClient
 from worksramp.rollout.job import BatchCommitted, JobState, SampleFinished
 
 MAX_CACHED_TOKENS = 500_000
--- a/src/worksramp/rollout/job_service.py
+++ b/src/worksramp/rollout/job_service.py
@@ -18,7 +18,7 @@
 from worksramp.coordination.replica import StreamReplica
 from worksramp.coordination.shard import ShardService
 from worksramp.outcomes import NotStartedError, StepError
-from worksramp.platform.base import LogClient, ScorerClient
+from worksramp.backends.base import LogClient, ScorerClient
 from worksramp.rollout.bodies import SampleBodies
 from worksramp.rollout.document import JobSpec, Preference
 from worksramp.rollout.job import BatchCommitted, JobState, SampleFinished, Segment
--- a/src/worksramp/rollout/prompts.py
+++ b/src/worksramp/rollout/prompts.py
@@ -7,7 +7,7 @@
 import xxhash
 
 from worksramp.outcomes import StepError
-from worksramp.platform.base import LogClient
+from worksramp.backends.base import LogClient
 
 PAGE_RECORDS = 512
 
--- a/src/worksramp/rollout/sampler.py
+++ b/src/worksramp/rollout/sampler.py
@@ -3,7 +3,7 @@
 from contextlib import aclosing
 
 from worksramp.outcomes import StepError
-from worksramp.platform.base import EngineClient, GenerateRequest, GenerationChunk
+from worksramp.backends.base import EngineClient, GenerateRequest, GenerationChunk
 from worksramp.routing.generation import GenerationPolicy, generate_resumable
 from worksramp.routing.limits import RetryBudget
 from worksramp.routing.pool import WorkerPool
--- a/src/worksramp/routing/leases.py
+++ b/src/worksramp/routing/leases.py
@@ -13,7 +13,7 @@
 
 import xxhash
 
-from worksramp.platform.base import Machine, WorkerReport
+from worksramp.backends.base import Machine, WorkerReport
 
 LEASE_SECONDS = 4.9
 LIVE_SMOOTHING = 0.05
--- a/src/worksramp/routing/subset.py
+++ b/src/worksramp/routing/subset.py
@@ -9,7 +9,7 @@
 
 import xxhash
 
-from worksramp.platform.base import Machine
+from worksramp.backends.base import Machine
 
 DEFAULT_SUBSET_SIZE = 8
 MIN_NODES_PER_WORKER = 2
--- a/src/worksramp/weights/fleet_service.py
+++ b/src/worksramp/weights/fleet_service.py
@@ -14,7 +14,7 @@
 from worksramp.coordination.replica import StreamReplica
 from worksramp.coordination.shard import ShardService
 from worksramp.outcomes import StepError
-from worksramp.platform.base import EngineClient, LoadOrder, Machine, WeightStoreClient, WorkerReport
+from worksramp.backends.base import EngineClient, LoadOrder, Machine, WeightStoreClient, WorkerReport
 from worksramp.transport.messages import (
     AnnounceVersion,
     NodeReply,
--- a/src/worksramp/weights/planner.py
+++ b/src/worksramp/weights/planner.py
@@ -11,7 +11,7 @@
 
 import xxhash
 
-from worksramp.platform.base import WorkerReport
+from worksramp.backends.base import WorkerReport
 
 LIVE_FLOOR_SHARE = 0.5
 ORDER_PATIENCE_SECONDS = 2.0
--- a/src/worksramp_emulator/baselines.py
+++ b/src/worksramp_emulator/baselines.py
@@ -7,7 +7,7 @@
 import anyio
 import anyio.abc
 
-from worksramp.platform.base import GenerateRequest, LoadOrder
+from worksramp.backends.base import GenerateRequest, LoadOrder
 from worksramp_emulator.engine import EngineCore
 from worksramp_emulator.experiment_spec import (
     MODEL,
--- a/src/worksramp_emulator/cli.py
+++ b/src/worksramp_emulator/cli.py
@@ -8,7 +8,7 @@
 import fire
 import msgspec
 
-from worksramp.platform.base import Machine
+from worksramp.backends.base import Machine
 from worksramp_emulator.engine import EngineCore, EngineProfile
 from worksramp_emulator.experiment_spec import load_experiments
 from worksramp_emulator.experiments import plot, run_experiments, write_csv
--- a/src/worksramp_emulator/engine.py
+++ b/src/worksramp_emulator/engine.py
@@ -17,7 +17,7 @@
 from anyio.streams.memory import MemoryObjectReceiveStream, MemoryObjectSendStream
 
 from worksramp.outcomes import InterruptedStepError, NotStartedError
-from worksramp.platform.base import GenerateRequest, GenerationChunk, LoadOrder, WorkerReport
+from worksramp.backends.base import GenerateRequest, GenerationChunk, LoadOrder, WorkerReport
 from worksramp_emulator.faults import Faults
 from worksramp_emulator.text import completion_length, token_at
 
--- a/src/worksramp_emulator/hollow.py
+++ b/src/worksramp_emulator/hollow.py
@@ -13,8 +13,8 @@
 from worksramp.logs import configure_logs
 from worksramp.node.main import make_identity
 from worksramp.node.node import Node
-from worksramp.platform.base import Machine, MachineListClient, MachineRole
-from worksramp.platform.http import http_platform
+from worksramp.backends.base import Machine, MachineListClient, MachineRole
+from worksramp.backends.http import http_platform
 from worksramp.settings import NodeSettings
 from worksramp.transport.tcp import TcpTransport
 from worksramp_emulator.engine import EngineCore, EngineProfile
--- a/src/worksramp_emulator/http_apps.py
+++ b/src/worksramp_emulator/http_apps.py
@@ -15,8 +15,8 @@
 from starlette.routing import Route
 
 from worksramp.outcomes import InterruptedStepError, NotStartedError
-from worksramp.platform.base import ApplicationRequest, GenerateRequest, LoadOrder, Machine
-from worksramp.platform.http import NOT_STARTED_CODE, AppendReply, RefusalBody, ScoreReply, VersionReply
+from worksramp.backends.base import ApplicationRequest, GenerateRequest, LoadOrder, Machine
+from worksramp.backends.http import NOT_STARTED_CODE, AppendReply, RefusalBody, ScoreReply, VersionReply
 from worksramp_emulator.engine import EngineCore
 from worksramp_emulator.faults import Faults
 from worksramp_emulator.platform import (
--- a/src/worksramp_emulator/platform.py
+++ b/src/worksramp_emulator/platform.py
@@ -9,7 +9,7 @@
 import xxhash
 
 from worksramp.outcomes import NotStartedError
-from worksramp.platform.base import (
+from worksramp.backends.base import (
     ApplicationReply,
     ApplicationRequest,
     LogClient,
--- a/src/worksramp_emulator/simulation/clients.py
+++ b/src/worksramp_emulator/simulation/clients.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from worksramp.outcomes import InterruptedStepError, NotStartedError, StepError
-from worksramp.platform.base import (
+from worksramp.backends.base import (
     ApplicationClient,
     ApplicationReply,
     ApplicationRequest,
--- a/src/worksramp_emulator/simulation/mutations.py
+++ b/src/worksramp_emulator/simulation/mutations.py
@@ -15,7 +15,7 @@
 from worksramp.coordination.ledger_service import LedgerService, Running
 from worksramp.node.node import Node
 from worksramp.outcomes import ExecutionOutcome, NotRun, OutcomeUnknown
-from worksramp.platform.base import GenerationChunk
+from worksramp.backends.base import GenerationChunk
 from worksramp.rollout.job import Batch, FinishedSample, JobState, SampleFinished
 from worksramp.rollout.job_service import DeliveredBatch, JobService, to_delivered
 from worksramp.rollout.planner import BatchPlan
--- a/src/worksramp_emulator/simulation/world.py
+++ b/src/worksramp_emulator/simulation/world.py
@@ -12,7 +12,7 @@
 from worksramp.gateway.app import make_application
 from worksramp.node.node import Identity, Node
 from worksramp.outcomes import NotStartedError, StepError
-from worksramp.platform.base import GenerateRequest, Machine, MachineRole
+from worksramp.backends.base import GenerateRequest, Machine, MachineRole
 from worksramp.rollout.document import TenantDocument, group_name
 from worksramp.rollout.prompts import prompt_set_name, prompt_stream, write_prompts
 from worksramp_emulator.engine import EngineCore
--- a/tests/steps/test_directed.py
+++ b/tests/steps/test_directed.py
@@ -10,7 +10,7 @@
 
 from worksramp.logs import configure_logs
 from worksramp.outcomes import InterruptedStepError
-from worksramp.platform.base import GenerateRequest, GenerationChunk
+from worksramp.backends.base import GenerateRequest, GenerationChunk
 from worksramp_emulator.engine import EngineCore, EngineProfile
 from worksramp_emulator.simulation.clock import run_simulated
 from worksramp_emulator.simulation.fault_runner import apply_fault
--- a/tests/unit/test_not_run.py
+++ b/tests/unit/test_not_run.py
@@ -8,7 +8,7 @@
 
 from worksramp.gateway.live import LiveTraffic
 from worksramp.outcomes import InterruptedStepError, NotStartedError
-from worksramp.platform.base import (
+from worksramp.backends.base import (
     ApplicationClient,
     ApplicationReply,
     ApplicationRequest,
--- a/tests/unit/test_subset.py
+++ b/tests/unit/test_subset.py
@@ -1,6 +1,6 @@
 """Every worker has a node, and nodes have about as many workers each."""
 
-from worksramp.platform.base import Machine, MachineRole
+from worksramp.backends.base import Machine, MachineRole
 from worksramp.routing.subset import choose_subset, num_nodes_per_worker
 
 NUM_NODES, NUM_WORKERS, SUBSET_SIZE = 330, 1500, 8
