--- a/scripts/bench_deciders.py
+++ b/scripts/bench_deciders.py
@@ -7,11 +7,11 @@
 
 import msgspec
 
+from worksramp.backends.base import Machine, MachineRole, WorkerReport
 from worksramp.coordination.fold import Claim, Envelope, StreamFold, Write, take_snapshot
 from worksramp.coordination.ledger import Intent, LedgerState, Result
 from worksramp.coordination.membership import Membership
 from worksramp.coordination.membership_messages import Member
-from worksramp.backends.base import Machine, MachineRole, WorkerReport
 from worksramp.rollout.document import JobSpec, Preference
 from worksramp.rollout.job import JobState, SampleFinished, Segment
 from worksramp.rollout.planner import plan_batch, plan_sampling
--- a/src/worksramp/backends/http.py
+++ b/src/worksramp/backends/http.py
@@ -12,7 +12,6 @@
 from httpx_sse import aconnect_sse
 from prometheus_client import Counter
 
-from worksramp.outcomes import InterruptedStepError, NotStartedError
 from worksramp.backends.base import (
     ApplicationClient,
     ApplicationReply,
@@ -30,6 +29,7 @@
     WeightStoreClient,
     WorkerReport,
 )
+from worksramp.outcomes import InterruptedStepError, NotStartedError
 
 CONNECT_TIMEOUT_SECONDS = 1.0
 REPLY_TIMEOUT_SECONDS = 5.0
--- a/src/worksramp/cli.py
+++ b/src/worksramp/cli.py
@@ -15,7 +15,8 @@
 import msgspec
 
 from worksramp.node.main import run_node
-from worksramp.settings import SettingsError, load_settings
+from worksramp.settings import load_settings
+from worksramp.settings_error import SettingsError
 
 EXIT_REFUSED = 1
 EXIT_USAGE = 2
--- a/src/worksramp/coordination/configuration_service.py
+++ b/src/worksramp/coordination/configuration_service.py
@@ -12,6 +12,7 @@
 import msgspec
 import structlog
 
+from worksramp.backends.base import LogClient
 from worksramp.coordination.configuration import (
     ConfigurationFold,
     ConfigurationSnapshot,
@@ -25,7 +26,6 @@
 from worksramp.coordination.peers import PeerCaller
 from worksramp.coordination.replication import StagedRecords, num_answers_needed, num_copies_needed
 from worksramp.outcomes import StepError
-from worksramp.backends.base import LogClient
 from worksramp.transport.messages import (
     ConfigurationHeld,
     ConfigurationRecords,
--- /dev/null
+++ b/src/worksramp/coordination/fenced_writer.py
@@ -0,0 +1,137 @@
+"""Appends of one owner: in turn, fenced by its epoch, sent again until their outcome is known."""
+
+import random
+from collections import deque
+
+import anyio
+import structlog
+
+from worksramp.coordination.log_lease import OWNER_KEY, OWNER_PRODUCER, OwnerRecord
+from worksramp.coordination.shared_log import (
+    Appended,
+    Fence,
+    FencedOff,
+    KeyedRecord,
+    NothingDone,
+    OutcomeOpen,
+    Partition,
+    SharedLog,
+)
+from worksramp.wire import encode
+
+RETRY_PAUSE_SECONDS = 0.05
+MAX_RETRY_PAUSE_SECONDS = 0.3
+RECORD_OVERHEAD_BYTES = 300
+
+logger = structlog.get_logger()
+
+
+class OwnershipLostError(Exception):
+    """Another owner's epoch is in force; nothing more can be written."""
+
+
+class FencedWriter:
+    """Queue of an owner's records.
+
+    Args:
+        claimed: the owner's record as it was claimed, with sequence 0.
+    """
+
+    def __init__(
+        self, log: SharedLog, partition: Partition, claimed: OwnerRecord, renewal_seconds: float
+    ) -> None:
+        self._log = log
+        self._partition = partition
+        self._owner = claimed
+        self._sequence = -1
+        self._queue: deque[KeyedRecord] = deque()
+        self._renewal_seconds = renewal_seconds
+        self._wanted = anyio.Event()
+        self._released = False
+        self.renewed_at = anyio.current_time()
+
+    @property
+    def owner(self) -> OwnerRecord:
+        """The owner's record as last renewed."""
+        return self._owner
+
+    @property
+    def num_waiting(self) -> int:
+        """Number of records not yet known to be in."""
+        return len(self._queue)
+
+    def put(self, *records: KeyedRecord) -> None:
+        """Queue records; they are appended in order."""
+        self._queue.extend(records)
+        self._wanted.set()
+
+    async def begin(self) -> int:
+        """Make the epoch known to the store; return the end of the partition after that.
+
+        Raises:
+            OwnershipLostError: a higher epoch is known already.
+        """
+        self._sequence += 1
+        return await self._append_until_known((KeyedRecord(OWNER_KEY, encode(self._owner)),))
+
+    async def run(self) -> None:
+        """Append what is queued and renew the lease, until released.
+
+        Raises:
+            OwnershipLostError: the store has refused the epoch.
+        """
+        while not self._released:
+            with anyio.move_on_after(self._renewal_seconds):
+                await self._wanted.wait()
+            self._wanted = anyio.Event()
+            await self._append_batch(is_release=False)
+
+    async def release(self) -> None:
+        """Append what is queued and give the lease back."""
+        self._released = True
+        await self._append_batch(is_release=True)
+
+    async def _append_batch(self, is_release: bool) -> None:
+        batch = self._take_batch()
+        now = anyio.current_time()
+        if is_release or now - self.renewed_at >= self._renewal_seconds * 0.8 or not batch:
+            self._owner = OwnerRecord(
+                self._owner.node, self._owner.boot, self._owner.epoch, self._owner.renewal + 1, is_release
+            )
+            batch.append(KeyedRecord(OWNER_KEY, encode(self._owner)))
+        self._sequence += 1
+        await self._append_until_known(tuple(batch))
+        if self._queue:
+            self._wanted.set()
+
+    def _take_batch(self) -> list[KeyedRecord]:
+        batch: list[KeyedRecord] = []
+        room = self._log.limits.max_call_bytes // 2
+        while self._queue and (not batch or room > len(self._queue[0].value) + RECORD_OVERHEAD_BYTES):
+            record = self._queue.popleft()
+            room -= len(record.value) + RECORD_OVERHEAD_BYTES
+            batch.append(record)
+        return batch
+
+    async def _append_until_known(self, batch: tuple[KeyedRecord, ...]) -> int:
+        fence = Fence(OWNER_PRODUCER, self._owner.epoch, self._sequence)
+        pause = RETRY_PAUSE_SECONDS
+        while True:
+            started = anyio.current_time()
+            outcome = await self._log.append(self._partition, batch, fence=fence)
+            if isinstance(outcome, Appended):
+                self.renewed_at = started
+                return outcome.end
+            if isinstance(outcome, (NothingDone, OutcomeOpen)):
+                logger.info(
+                    "owner_append_again",
+                    epoch=fence.epoch,
+                    sequence=fence.sequence,
+                    num_records=len(batch),
+                    reason=outcome.reason,
+                )
+                await anyio.sleep(pause * random.uniform(0.5, 1.0))
+                pause = min(2 * pause, MAX_RETRY_PAUSE_SECONDS)
+                continue
+            logger.warning("owner_lost", epoch=fence.epoch, sequence=fence.sequence, outcome=str(outcome))
+            raise OwnershipLostError(type(outcome).__name__ if isinstance(outcome, FencedOff) else str(outcome))
--- /dev/null
+++ b/src/worksramp/coordination/keyed_replica.py
@@ -0,0 +1,188 @@
+"""A node's copy of one keyed partition, kept up to date by long polls.
+
+The copy starts from the newest records by key and follows the log from there; when the store no longer keeps
+the place it had reached, it starts again. It never goes back: an answer that ends before what was already
+seen is passed over.
+"""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import anyio
+import structlog
+
+from worksramp.coordination.shared_log import (
+    LogUnavailableError,
+    Partition,
+    RecordsGone,
+    SharedLog,
+    StoredRecord,
+)
+
+PAUSE_AFTER_ERROR_SECONDS = 0.05
+MAX_PAUSE_AFTER_ERROR_SECONDS = 0.4
+BARRIER_WAIT_SECONDS = 0.0
+
+logger = structlog.get_logger()
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """A key got a new value, or none."""
+
+    key: str
+    value: bytes | None
+    offset: int
+
+
+class NotCurrentError(Exception):
+    """The copy could not be shown to be up to date in time."""
+
+
+ChangeHandler = Callable[[Change], None]
+
+
+class KeyedReplica:
+    """Copy of the newest value of each key of a partition.
+
+    Args:
+        poll_seconds: longest wait of one poll.
+        on_change: called for each change, in order of offsets within one partition.
+    """
+
+    def __init__(
+        self, log: SharedLog, partition: Partition, poll_seconds: float, on_change: ChangeHandler
+    ) -> None:
+        self._log = log
+        self._partition = partition
+        self._poll_seconds = poll_seconds
+        self._on_change = on_change
+        self._offsets: dict[str, int] = {}
+        self._changed = anyio.Event()
+        self._is_reachable = True
+        self.position: int | None = None
+        self.confirmed_at = float("-inf")
+
+    @property
+    def is_loaded(self) -> bool:
+        """Whether the copy has held the whole partition once."""
+        return self.position is not None
+
+    def confirmed_age(self) -> float:
+        """Return seconds since the start of the last poll that found nothing missing."""
+        return anyio.current_time() - self.confirmed_at
+
+    async def follow(self) -> None:
+        """Keep the copy up to date until cancelled."""
+        pause = PAUSE_AFTER_ERROR_SECONDS
+        while True:
+            try:
+                await self._step()
+                pause = PAUSE_AFTER_ERROR_SECONDS
+                self._note_reachable(True, "")
+            except LogUnavailableError as error:
+                self._note_reachable(False, str(error))
+                await anyio.sleep(pause * random.uniform(0.5, 1.0))
+                pause = min(pause * 2, MAX_PAUSE_AFTER_ERROR_SECONDS)
+
+    async def wait_loaded(self) -> None:
+        """Wait until the copy has held the whole partition once."""
+        while self.position is None:
+            await self._changed.wait()
+
+    async def wait_position(self, end: int) -> None:
+        """Wait until the copy holds all records before offset ``end``."""
+        while self.position is None or self.position < end:
+            await self._changed.wait()
+
+    async def barrier(self, timeout_seconds: float) -> None:
+        """Return once the copy holds all that the store held when this was called.
+
+        Raises:
+            NotCurrentError: that could not be shown within ``timeout_seconds``.
+        """
+        try:
+            with anyio.fail_after(timeout_seconds):
+                await self.wait_loaded()
+                end = await self._end()
+                await self.wait_position(end)
+        except (TimeoutError, LogUnavailableError) as error:
+            raise NotCurrentError(str(error) or "timed out") from error
+
+    async def wait_changed(self) -> None:
+        """Wait until the copy has taken in something more."""
+        await self._changed.wait()
+
+    async def _end(self) -> int:
+        assert self.position is not None
+        answer = await self._log.read(self._partition, self.position, BARRIER_WAIT_SECONDS)
+        if isinstance(answer, RecordsGone):
+            return self.position + 1
+        return answer.end
+
+    async def _step(self) -> None:
+        if self.position is None:
+            await self._load()
+            return
+        started = anyio.current_time()
+        answer = await self._log.read(self._partition, self.position, self._poll_seconds)
+        if isinstance(answer, RecordsGone):
+            logger.info("replica_reload", topic=self._partition.topic, position=self.position, first=answer.first)
+            await self._load()
+            return
+        for record in answer.records:
+            self._apply(record)
+        if answer.records:
+            self.position = max(self.position, answer.records[-1].offset + 1)
+        if answer.end <= self.position:
+            self.confirmed_at = started
+        self._wake()
+
+    async def _load(self) -> None:
+        """Read the newest records of all keys, then go on from where the first page was made."""
+        started = anyio.current_time()
+        page = await self._log.newest(self._partition, None)
+        first_end = page.end
+        if self.position is not None and first_end < self.position:
+            raise LogUnavailableError("newest", self._partition.topic, "older than what was already seen")
+        seen: set[str] = set()
+        while True:
+            for record in page.records:
+                seen.add(record.key)
+                self._apply(record)
+            if page.next_after is None:
+                break
+            page = await self._log.newest(self._partition, page.next_after)
+        self._drop_missing(seen, first_end)
+        self.position = first_end
+        self.confirmed_at = started
+        self._wake()
+
+    def _drop_missing(self, seen: set[str], end: int) -> None:
+        """Forget the keys that the store no longer has."""
+        for key in [key for key, offset in self._offsets.items() if key not in seen and offset < end]:
+            del self._offsets[key]
+            self._on_change(Change(key, None, end - 1))
+
+    def _apply(self, record: StoredRecord) -> None:
+        if record.offset <= self._offsets.get(record.key, -1):
+            return
+        if record.value:
+            self._offsets[record.key] = record.offset
+        else:
+            self._offsets.pop(record.key, None)
+        self._on_change(Change(record.key, record.value or None, record.offset))
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = anyio.Event()
+
+    def _note_reachable(self, is_reachable: bool, reason: str) -> None:
+        if is_reachable == self._is_reachable:
+            return
+        self._is_reachable = is_reachable
+        if is_reachable:
+            logger.info("store_regained", topic=self._partition.topic, position=self.position)
+        else:
+            logger.warning("store_lost", topic=self._partition.topic, position=self.position, reason=reason)
--- a/src/worksramp/coordination/ledger_service.py
+++ b/src/worksramp/coordination/ledger_service.py
@@ -12,6 +12,7 @@
 import anyio.abc
 import xxhash
 
+from worksramp.backends.base import ApplicationReply
 from worksramp.coordination.fold import Accepted, Verdict
 from worksramp.coordination.ledger import (
     Doubt,
@@ -36,7 +37,6 @@
     OutcomeUnknown,
     StepError,
 )
-from worksramp.backends.base import ApplicationReply
 from worksramp.transport.messages import ExecuteOnce, NodeReply, NodeRequest, NotOwner, to_execute_reply
 
 RETRY_AFTER_SECONDS = 2.0
--- /dev/null
+++ b/src/worksramp/coordination/log_lease.py
@@ -0,0 +1,112 @@
+"""Lease on a shard, kept as a record in the shard's own partition.
+
+Who claims appends the owner's record under the next epoch on the condition that the partition ends where the
+claimant's copy does; the store lets one claim of a race through, and from then on refuses the former owner's
+appends. Time decides only when somebody claims, never who may write.
+"""
+
+from dataclasses import dataclass
+
+import msgspec
+
+OWNER_KEY = "owner"
+OWNER_PRODUCER = "owner"
+
+
+class OwnerRecord(msgspec.Struct, frozen=True, array_like=True):
+    """Who owns the shard.
+
+    Attributes:
+        node: name of the machine.
+        boot: random text of one start of its process.
+        epoch: fencing token of all that the owner writes and orders.
+        renewal: counts the renewals within the epoch.
+        is_released: the owner has stopped; the next claim need not wait.
+    """
+
+    node: str
+    boot: str
+    epoch: int
+    renewal: int = 0
+    is_released: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseTimes:
+    """Seconds that bound a lease.
+
+    Attributes:
+        expiry: without a renewal for this long, others claim.
+        renewal: pause between renewals.
+        order_validity: the owner orders workers only while its last renewal is younger than this.
+        order_guard: a new owner orders no worker sooner than this after its claim.
+        max_replica_age: a claimant's copy must have been confirmed this recently.
+    """
+
+    expiry: float
+    renewal: float
+    order_validity: float
+    order_guard: float
+    max_replica_age: float
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseView:
+    """What a node knows of the lease at one moment.
+
+    Attributes:
+        owner: the newest owner's record, None when there is none.
+        owner_changed_at: when this node saw that record, on its own clock.
+        replica_age: seconds since its copy was confirmed as current.
+        may_own: whether this node wants the lease at all.
+        jitter: this node's own share of waiting, so that claims seldom race.
+    """
+
+    owner: OwnerRecord | None
+    owner_changed_at: float
+    replica_age: float
+    may_own: bool
+    jitter: float
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimLease:
+    """Claim under this epoch."""
+
+    epoch: int
+
+
+@dataclass(frozen=True, slots=True)
+class LeaveLease:
+    """Do not claim now.
+
+    Attributes:
+        reason: one word for the log.
+    """
+
+    reason: str
+
+
+def decide_claim(view: LeaseView, times: LeaseTimes, now: float) -> ClaimLease | LeaveLease:
+    """Decide whether a node that does not own the shard claims it."""
+    if not view.may_own:
+        return LeaveLease("not_wanted")
+    if view.replica_age > times.max_replica_age:
+        # Without a fresh copy, silence may be the store's and not the owner's.
+        return LeaveLease("copy_not_fresh")
+    if view.owner is None:
+        waited = now - view.owner_changed_at
+        return ClaimLease(1) if waited >= view.jitter else LeaveLease("jitter")
+    due = view.jitter if view.owner.is_released else times.expiry + view.jitter
+    if now - view.owner_changed_at < due:
+        return LeaveLease("owner_renews")
+    return ClaimLease(view.owner.epoch + 1)
+
+
+def may_order(now: float, claimed_at: float, renewed_at: float, times: LeaseTimes) -> bool:
+    """Return whether an owner may order workers now.
+
+    The guard after a claim keeps two owners from taking turns; the age of the renewal keeps one that woke
+    from a pause silent until it has heard from the store again.
+    """
+    return now - claimed_at >= times.order_guard and now - renewed_at <= times.order_validity
--- a/src/worksramp/coordination/replica.py
+++ b/src/worksramp/coordination/replica.py
@@ -11,6 +11,7 @@
 import anyio
 import msgspec
 
+from worksramp.backends.base import LogClient
 from worksramp.coordination.fold import (
     Accepted,
     Applied,
@@ -27,7 +28,6 @@
     take_snapshot,
 )
 from worksramp.outcomes import NotStartedError, StepError
-from worksramp.backends.base import LogClient
 
 TAIL_WAIT_SECONDS = 10.0
 TAIL_MAX_RECORDS = 512
--- /dev/null
+++ b/src/worksramp/edge/__init__.py
@@ -0,0 +1,1 @@
+"""One role for machines that keep nothing: forwards live requests and runs submitted batches."""
--- /dev/null
+++ b/src/worksramp/edge/asgi.py
@@ -0,0 +1,83 @@
+"""Small helpers over the ASGI messages of one HTTP request."""
+
+from collections.abc import AsyncIterator, Awaitable, Callable, MutableMapping
+from dataclasses import dataclass
+from typing import Any
+
+import anyio
+import msgspec
+
+Scope = MutableMapping[str, Any]
+Message = MutableMapping[str, Any]
+Receive = Callable[[], Awaitable[Message]]
+Send = Callable[[Message], Awaitable[None]]
+Headers = list[tuple[bytes, bytes]]
+
+CONTENT_TYPE = b"content-type"
+JSON_TYPE = b"application/json"
+
+
+class CallerGoneError(Exception):
+    """The caller closed its connection."""
+
+
+class BodyTooLargeError(Exception):
+    """The body is larger than the limit."""
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """A whole answer."""
+
+    status: int
+    headers: Headers
+    body: bytes = b""
+
+
+def json_answer(status: int, value: Any, headers: Headers | None = None) -> Answer:
+    """Return an answer with a JSON body."""
+    return Answer(status, [(CONTENT_TYPE, JSON_TYPE), *(headers or [])], msgspec.json.encode(value))
+
+
+async def read_body(receive: Receive, max_bytes: int) -> bytes:
+    """Return the whole body of a request.
+
+    Raises:
+        CallerGoneError: the caller left before its end.
+        BodyTooLargeError: it is longer than ``max_bytes``.
+    """
+    chunks: list[bytes] = []
+    num_bytes = 0
+    while True:
+        message = await receive()
+        if message["type"] == "http.disconnect":
+            raise CallerGoneError
+        chunk = message.get("body", b"")
+        num_bytes += len(chunk)
+        if num_bytes > max_bytes:
+            raise BodyTooLargeError
+        chunks.append(chunk)
+        if not message.get("more_body", False):
+            return b"".join(chunks)
+
+
+async def wait_gone(receive: Receive) -> None:
+    """Return when the caller has closed its connection."""
+    while (await receive())["type"] != "http.disconnect":
+        await anyio.lowlevel.checkpoint()
+
+
+async def send_answer(send: Send, answer: Answer) -> None:
+    """Send a whole answer."""
+    headers = [pair for pair in answer.headers if pair[0] != b"content-length"]
+    headers.append((b"content-length", str(len(answer.body)).encode()))
+    await send({"type": "http.response.start", "status": answer.status, "headers": headers})
+    await send({"type": "http.response.body", "body": answer.body, "more_body": False})
+
+
+async def send_stream(send: Send, status: int, headers: Headers, chunks: AsyncIterator[bytes]) -> None:
+    """Send an answer as it comes; an error of ``chunks`` leaves it visibly unfinished."""
+    await send({"type": "http.response.start", "status": status, "headers": headers})
+    async for chunk in chunks:
+        await send({"type": "http.response.body", "body": chunk, "more_body": True})
+    await send({"type": "http.response.body", "body": b"", "more_body": False})
--- /dev/null
+++ b/src/worksramp/edge/node.py
@@ -0,0 +1,179 @@
+"""An edge node: what it follows, what it serves, when it is ready, and how it stops."""
+
+import random
+import uuid
+from dataclasses import dataclass, field
+
+import anyio
+import structlog
+
+from worksramp.coordination.keyed_replica import Change, KeyedReplica
+from worksramp.coordination.log_lease import LeaseTimes
+from worksramp.coordination.shared_log import SharedLog
+from worksramp.edge.ports import PlatformRecords, TableAccepted, Unreadable, VersionNamed, WorkerGone, WorkerSeen
+from worksramp.edge.settings import EdgeBounds, EdgeSettings
+from worksramp.rollout.batch_owner import TableSource
+from worksramp.rollout.batch_service import BatchService, ServiceTimes
+from worksramp.rollout.shard import BatchShard, ShardContext
+from worksramp.routing.forward import Forwarder
+from worksramp.routing.table import RouteTable
+from worksramp.routing.worker_port import WorkerPort
+from worksramp.routing.workers import WorkerDirectory
+
+BOOT_CHARACTERS = 8
+STOP_TICK_SECONDS = 0.05
+
+logger = structlog.get_logger()
+
+
+def poll_seconds(bounds: EdgeBounds) -> float:
+    """Return the longest wait of one poll: a hung one must be noticed well within the bounds."""
+    return min(bounds.configuration_apply / 4, bounds.settle / 2)
+
+
+def lease_times(bounds: EdgeBounds) -> LeaseTimes:
+    """Return the times of the owner's lease. Source: docs/design/prepared-machines.md."""
+    return LeaseTimes(
+        expiry=0.4 * bounds.lease,
+        renewal=0.1 * bounds.lease,
+        order_validity=0.3 * bounds.lease,
+        order_guard=1.1 * bounds.lease,
+        max_replica_age=poll_seconds(bounds) + 0.1 * bounds.lease,
+    )
+
+
+@dataclass(slots=True)
+class EdgeNode:
+    """One edge node, apart from its HTTP server."""
+
+    settings: EdgeSettings
+    log: SharedLog
+    port: WorkerPort
+    records: PlatformRecords
+    table: TableSource = field(default_factory=TableSource)
+    directory: WorkerDirectory = field(default_factory=WorkerDirectory)
+    named_versions: dict[str, int] = field(default_factory=dict)
+    num_in_flight: int = 0
+    is_stopping: bool = False
+    forwarder: Forwarder = field(init=False)
+    shard: BatchShard = field(init=False)
+    batches: BatchService = field(init=False)
+    _control: KeyedReplica = field(init=False)
+    _workers: KeyedReplica = field(init=False)
+
+    def __post_init__(self) -> None:
+        settings, bounds = self.settings, self.settings.bounds
+        poll = poll_seconds(bounds)
+        self.forwarder = Forwarder(self.directory, self.port, settings.zone, random.Random())
+        self._control = KeyedReplica(self.log, self.records.control, poll, self._take_control)
+        self._workers = KeyedReplica(self.log, self.records.workers, poll, self._take_worker)
+        self.shard = BatchShard(
+            ShardContext(
+                log=self.log,
+                partition=self.records.batches,
+                node=settings.node_id,
+                boot=uuid.uuid4().hex[:BOOT_CHARACTERS],
+                times=lease_times(bounds),
+                poll_seconds=poll,
+                directory=self.directory,
+                port=self.port,
+                table=self.table,
+                named_versions=self.named_versions,
+                max_loading=settings.max_loading,
+                may_own=lambda: self.is_ready,
+            )
+        )
+        self.batches = BatchService(
+            self.log,
+            self.records.batches,
+            self.shard.ledger,
+            self.shard.replica,
+            ServiceTimes(answer=bounds.acknowledge / 3, freshness=0.8 * bounds.settle),
+        )
+
+    @property
+    def is_loaded(self) -> bool:
+        """Whether the node knows a configuration, the workers and the batches."""
+        return (
+            self.table.current is not None
+            and self._workers.is_loaded
+            and self._control.is_loaded
+            and self.shard.replica.is_loaded
+        )
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether new callers should come here."""
+        return self.is_loaded and not self.is_stopping
+
+    def is_table_fresh(self) -> bool:
+        """Return whether the configuration in force was confirmed within its bound."""
+        return self._control.confirmed_age() <= self.settings.bounds.configuration_apply
+
+    async def run(self) -> None:
+        """Follow the platform's records until cancelled."""
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._control.follow)
+            group.start_soon(self._workers.follow)
+            group.start_soon(self.shard.run)
+
+    async def stop(self) -> None:
+        """Hand over, stay until callers go elsewhere, and finish what is in flight.
+
+        Returns before the platform's patience ends, whatever is still in flight.
+        """
+        started = anyio.current_time()
+        self.is_stopping = True
+        grace = self.settings.bounds.grace
+        logger.info("stopping", num_in_flight=self.num_in_flight, is_owner=self.shard.is_owner)
+        await self.shard.stop()
+        # Readiness is asked about once a second, and two misses take a node out.
+        leave_at = started + min(3.2, grace / 2)
+        while anyio.current_time() < started + 0.85 * grace:
+            if anyio.current_time() >= leave_at and self.num_in_flight == 0:
+                break
+            await anyio.sleep(STOP_TICK_SECONDS)
+        logger.info(
+            "stopped",
+            num_in_flight=self.num_in_flight,
+            seconds=round(anyio.current_time() - started, 3),
+        )
+
+    def _take_control(self, change: Change) -> None:
+        event = self.records.control_event(change)
+        if isinstance(event, TableAccepted):
+            self._take_table(event.table)
+        elif isinstance(event, VersionNamed):
+            self.named_versions[event.model] = max(event.version, self.named_versions.get(event.model, 0))
+            logger.info("version_named", model=event.model, version=event.version)
+        elif isinstance(event, Unreadable):
+            logger.error("record_unreadable", key=event.key, reason=event.reason)
+        self.shard.wake()
+
+    def _take_table(self, table: RouteTable) -> None:
+        before = self.table.current
+        if before is not None and table.version < before.version:
+            logger.warning("configuration_older", version=table.version, in_force=before.version)
+            return
+        self.table.current = table
+        logger.info("configuration_in_force", version=table.version, num_routes=len(table.routes))
+
+    def _take_worker(self, change: Change) -> None:
+        event = self.records.worker_event(change)
+        if isinstance(event, WorkerSeen):
+            known = self.directory.get(event.entry.worker_id)
+            if known is None or known.entry.is_leaving != event.entry.is_leaving:
+                logger.info(
+                    "worker_seen",
+                    worker=event.entry.worker_id,
+                    service=event.entry.service,
+                    address=event.entry.address,
+                    is_leaving=event.entry.is_leaving,
+                )
+            self.directory.put(event.entry)
+        elif isinstance(event, WorkerGone):
+            logger.info("worker_gone", worker=event.worker_id)
+            self.directory.remove(event.worker_id)
+        elif isinstance(event, Unreadable):
+            logger.error("record_unreadable", key=event.key, reason=event.reason)
+        self.shard.wake()
--- /dev/null
+++ b/src/worksramp/edge/ports.py
@@ -0,0 +1,64 @@
+"""What an edge node asks of the platform it runs on, beside the log and the workers."""
+
+from dataclasses import dataclass
+from typing import Protocol
+
+from worksramp.coordination.keyed_replica import Change
+from worksramp.coordination.shared_log import Partition
+from worksramp.routing.table import RouteTable
+from worksramp.routing.workers import WorkerEntry
+
+
+@dataclass(frozen=True, slots=True)
+class TableAccepted:
+    """A configuration was accepted."""
+
+    table: RouteTable
+
+
+@dataclass(frozen=True, slots=True)
+class VersionNamed:
+    """A trainer named a version of a model."""
+
+    model: str
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class WorkerSeen:
+    """A worker's entry was written."""
+
+    entry: WorkerEntry
+
+
+@dataclass(frozen=True, slots=True)
+class WorkerGone:
+    """A worker's entry is no longer there."""
+
+    worker_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class Unreadable:
+    """A record that cannot be used; what was known before stays in force."""
+
+    key: str
+    reason: str
+
+
+ControlEvent = TableAccepted | VersionNamed | Unreadable
+WorkerEvent = WorkerSeen | WorkerGone | Unreadable
+
+
+class PlatformRecords(Protocol):
+    """Where the platform keeps its records and what they mean."""
+
+    control: Partition
+    workers: Partition
+    batches: Partition
+
+    def control_event(self, change: Change) -> ControlEvent | None:
+        """Return what a change of configuration or versions means."""
+
+    def worker_event(self, change: Change) -> WorkerEvent | None:
+        """Return what a change of a worker's entry means."""
--- a/src/worksramp/gateway/backend.py
+++ b/src/worksramp/gateway/backend.py
@@ -2,10 +2,10 @@
 
 from typing import Protocol
 
+from worksramp.backends.base import Platform
 from worksramp.coordination.configuration_service import ConfigurationService
 from worksramp.coordination.membership import Membership
 from worksramp.gateway.live import LiveTraffic
-from worksramp.backends.base import Platform
 from worksramp.rollout.document import TenantDocument
 from worksramp.settings import NodeSettings
 from worksramp.transport.messages import DescribeShard, ExecuteOnce, FetchBatch, NodeReply
--- a/src/worksramp/gateway/callers.py
+++ b/src/worksramp/gateway/callers.py
@@ -11,6 +11,7 @@
 from starlette.responses import Response
 from starlette.routing import Route
 
+from worksramp.backends.base import ApplicationRequest, GenerateRequest, GenerationChunk
 from worksramp.coordination.ledger import MAX_CLOCK_SKEW_MS, canonical_key, key_time_ms, shard_of
 from worksramp.coordination.ledger_service import LEDGER_RETENTION_MS
 from worksramp.gateway.backend import GatewayBackend
@@ -33,7 +34,6 @@
     step_error_body,
 )
 from worksramp.outcomes import Completed, ExecutionOutcome, KeyReused, NotRun, OutcomeUnknown, StepError
-from worksramp.backends.base import ApplicationRequest, GenerateRequest, GenerationChunk
 from worksramp.rollout.document import group_name
 from worksramp.rollout.sampler import SegmentRecorder
 from worksramp.settings import KeyRole
--- a/src/worksramp/gateway/live.py
+++ b/src/worksramp/gateway/live.py
@@ -5,7 +5,6 @@
 
 import anyio
 
-from worksramp.outcomes import InterruptedStepError, NotStartedError, StepError
 from worksramp.backends.base import (
     ApplicationReply,
     ApplicationRequest,
@@ -14,6 +13,7 @@
     MachineRole,
     Platform,
 )
+from worksramp.outcomes import InterruptedStepError, NotStartedError, StepError
 from worksramp.routing.choice import RouteRequest
 from worksramp.routing.generation import GenerationPolicy, generate_resumable
 from worksramp.routing.limits import (
--- a/src/worksramp/node/machines.py
+++ b/src/worksramp/node/machines.py
@@ -8,8 +8,8 @@
 import anyio.abc
 import structlog
 
-from worksramp.outcomes import StepError
 from worksramp.backends.base import Machine, MachineRole, Platform, WorkerReport
+from worksramp.outcomes import StepError
 from worksramp.routing.pool import WorkerPool
 
 POLL_SECONDS = 5.0
--- a/src/worksramp/node/main.py
+++ b/src/worksramp/node/main.py
@@ -11,10 +11,10 @@
 from hypercorn.asyncio import serve
 from hypercorn.config import Config
 
+from worksramp.backends.http import http_platform
 from worksramp.gateway.app import make_application
 from worksramp.logs import configure_logs
 from worksramp.node.node import Identity, Node
-from worksramp.backends.http import http_platform
 from worksramp.settings import NodeSettings
 from worksramp.transport.tcp import TcpTransport
 
--- a/src/worksramp/node/node.py
+++ b/src/worksramp/node/node.py
@@ -10,6 +10,7 @@
 import msgspec
 import structlog
 
+from worksramp.backends.base import ApplicationReply, ApplicationRequest, MachineRole, Platform
 from worksramp.coordination.configuration import TenantConfiguration
 from worksramp.coordination.configuration_service import ConfigurationService
 from worksramp.coordination.membership import Membership
@@ -21,7 +22,6 @@
 from worksramp.node.plans import ShardPlanner
 from worksramp.node.shards import ShardManager
 from worksramp.outcomes import InterruptedStepError, NotStartedError, StepError
-from worksramp.backends.base import ApplicationReply, ApplicationRequest, MachineRole, Platform
 from worksramp.rollout.document import SCHEMA_VERSION, TenantDocument, decode_document, validate_document
 from worksramp.rollout.sampler import run_sample
 from worksramp.routing.limits import RetryBudget
--- a/src/worksramp/node/plans.py
+++ b/src/worksramp/node/plans.py
@@ -5,11 +5,11 @@
 import anyio.abc
 import msgspec
 
+from worksramp.backends.base import Machine
 from worksramp.coordination.ledger import LedgerState
 from worksramp.coordination.ledger_service import LedgerService
 from worksramp.coordination.replica import StreamReplica
 from worksramp.node.shards import AnyReplica, ShardPlan
-from worksramp.backends.base import Machine
 from worksramp.rollout.document import JobSpec, TenantDocument, group_name, resolve_job
 from worksramp.rollout.job import JobState
 from worksramp.rollout.job_service import JobService
--- /dev/null
+++ b/src/worksramp/rollout/batch_run.py
@@ -0,0 +1,199 @@
+"""One run of an item at one worker, and the text that it adds."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import anyio
+
+from worksramp.rollout.batches import BatchItem, GeneratedText
+from worksramp.routing.events import EventSplitter, StreamEvent
+from worksramp.routing.worker_port import (
+    WorkerAnswer,
+    WorkerAnswerBrokenError,
+    WorkerPort,
+    WorkerRequest,
+    WorkerUnreachableError,
+)
+from worksramp.routing.workers import WorkerEntry
+
+STATUS_OK = 200
+STATUS_NEVER = 422
+STATUS_FAILED = 500
+
+
+@dataclass(slots=True)
+class TextBuilder:
+    """Text of an item as it grows; events are taken whole and in order."""
+
+    pieces: list[str] = field(default_factory=list)
+    last_event_id: str | None = None
+    versions: list[int] = field(default_factory=list)
+    num_failures: int = 0
+    is_whole: bool = False
+
+    @classmethod
+    def from_text(cls, text: GeneratedText) -> "TextBuilder":
+        """Return a builder that goes on from a kept text."""
+        return cls(list(text.pieces), text.last_event_id, list(text.versions), text.num_failures, text.is_whole)
+
+    def freeze(self) -> GeneratedText:
+        """Return the text so far."""
+        return GeneratedText(
+            tuple(self.pieces), self.last_event_id, tuple(self.versions), self.num_failures, self.is_whole
+        )
+
+    def clear(self) -> None:
+        """Throw the text away; failures stay counted."""
+        self.pieces, self.last_event_id, self.versions, self.is_whole = [], None, [], False
+
+    def add(self, event: StreamEvent, version: int) -> None:
+        """Add a whole event made under ``version``."""
+        self.pieces.append(event.data)
+        self.last_event_id = event.event_id
+        if version not in self.versions:
+            self.versions.append(version)
+
+
+@dataclass(frozen=True, slots=True)
+class RunFinished:
+    """The text is whole."""
+
+
+@dataclass(frozen=True, slots=True)
+class RunNotBegun:
+    """The worker did not run it.
+
+    Attributes:
+        is_gone: the worker takes no more work, or is another one by now.
+    """
+
+    reason: str
+    is_gone: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class RunBroken:
+    """The run ended early; its whole events were kept."""
+
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class RunFailed:
+    """The worker ended the run with an error of its own."""
+
+    status: int
+
+
+@dataclass(frozen=True, slots=True)
+class RunNeverPossible:
+    """The worker says that the item can never be done."""
+
+
+@dataclass(frozen=True, slots=True)
+class RunWrongVersion:
+    """The worker's weights may not make this text."""
+
+    version: int
+
+
+RunOutcome = RunFinished | RunNotBegun | RunBroken | RunFailed | RunNeverPossible | RunWrongVersion
+
+
+@dataclass(frozen=True, slots=True)
+class RunSpec:
+    """What one run must keep to.
+
+    Attributes:
+        min_version: oldest weights that may make an event.
+        needs_one_version: all events must come from one version.
+    """
+
+    item: BatchItem
+    host: str
+    min_version: int
+    needs_one_version: bool
+    urgency: int | None = None
+
+
+def may_add(text: TextBuilder, version: int, spec: RunSpec) -> bool:
+    """Return whether an event of ``version`` may join the text."""
+    if version < spec.min_version:
+        return False
+    return not (spec.needs_one_version and text.versions and text.versions != [version])
+
+
+def request_for(spec: RunSpec, text: TextBuilder) -> WorkerRequest:
+    """Return the request of a run that goes on after the text so far."""
+    headers = [(b"host", spec.host.encode())]
+    headers += [(name.encode(), value.encode()) for name, value in spec.item.headers]
+    return WorkerRequest(
+        request_id=spec.item.item_id,
+        method="POST",
+        target=spec.item.target.encode(),
+        headers=tuple(headers),
+        body=spec.item.body,
+        resume_after=text.last_event_id,
+        urgency=spec.urgency,
+    )
+
+
+async def run_item(
+    port: WorkerPort,
+    worker: WorkerEntry,
+    spec: RunSpec,
+    text: TextBuilder,
+    on_event: Callable[[], None],
+) -> RunOutcome:
+    """Run an item at a worker and add what it makes to ``text``.
+
+    Cancelling closes the connection, upon which the worker drops the run.
+    """
+    try:
+        async with port.send(worker, request_for(spec, text)) as answer:
+            if answer.status != STATUS_OK or answer.is_not_run:
+                return _refusal(answer)
+            return await _read_text(port, answer, spec, text, on_event)
+    except WorkerUnreachableError as error:
+        return RunNotBegun(f"unreachable: {error}")
+    except WorkerAnswerBrokenError as error:
+        return RunBroken(str(error))
+
+
+def _refusal(answer: WorkerAnswer) -> RunOutcome:
+    if answer.is_other_worker:
+        return RunNotBegun("other_worker", is_gone=True)
+    if answer.is_not_run:
+        return RunNotBegun(f"status_{answer.status}", is_gone=answer.is_leaving)
+    if answer.status == STATUS_NEVER and answer.is_signed:
+        return RunNeverPossible()
+    if answer.status == STATUS_FAILED and answer.is_signed:
+        return RunFailed(answer.status)
+    return RunBroken(f"status_{answer.status}")
+
+
+async def _read_text(
+    port: WorkerPort,
+    answer: WorkerAnswer,
+    spec: RunSpec,
+    text: TextBuilder,
+    on_event: Callable[[], None],
+) -> RunOutcome:
+    version = answer.weight_version
+    if version is None or not answer.is_signed:
+        return RunBroken("unsigned answer or no version told")
+    splitter = EventSplitter()
+    async for chunk in answer.body:
+        for event in splitter.feed(chunk):
+            told = event.fields.get(port.version_field)
+            if told is not None and told.strip().isdigit():
+                version = int(told)
+            if not may_add(text, version, spec):
+                return RunWrongVersion(version)
+            text.add(event, version)
+            on_event()
+        await anyio.lowlevel.checkpoint_if_cancelled()
+    if splitter.has_rest:
+        return RunBroken("ended inside an event")
+    text.is_whole = True
+    return RunFinished()
--- a/src/worksramp/rollout/bodies.py
+++ b/src/worksramp/rollout/bodies.py
@@ -9,9 +9,9 @@
 
 import msgspec
 
+from worksramp.backends.base import LogClient
 from worksramp.coordination.fold import Envelope, Write
 from worksramp.outcomes import StepError
-from worksramp.backends.base import LogClient
 from worksramp.rollout.job import BatchCommitted, JobState, SampleFinished
 
 MAX_CACHED_TOKENS = 500_000
--- /dev/null
+++ b/src/worksramp/rollout/item_work.py
@@ -0,0 +1,79 @@
+"""Open items of an owner's batches: what waits, what runs, and the text that each has so far."""
+
+from dataclasses import dataclass, field
+
+import anyio
+
+from worksramp.rollout.batch_run import TextBuilder
+from worksramp.rollout.batches import Batch, BatchItem, BatchLedger
+from worksramp.routing.table import Route
+
+ItemKey = tuple[str, int]
+AVOID_AFTER_BREAK_SECONDS = 0.6
+AVOID_AFTER_REFUSAL_SECONDS = 0.15
+
+
+@dataclass(slots=True)
+class Run:
+    """A run under way.
+
+    Attributes:
+        last_event_at: when its last event came, or when it was sent.
+        num_events: events it has made.
+    """
+
+    worker_id: str
+    scope: anyio.CancelScope
+    started_at: float
+    last_event_at: float
+    num_events: int = 0
+    is_moving: bool = False
+
+
+@dataclass(slots=True)
+class ItemWork:
+    """One item that is not listed yet.
+
+    Attributes:
+        avoided: workers it must not go to, each until a time.
+        num_checkpointed: pieces of the text that are in the log.
+    """
+
+    key: ItemKey
+    item: BatchItem
+    model: str
+    route: Route
+    submitted_at: float
+    min_version: int
+    text: TextBuilder
+    run: Run | None = None
+    avoided: dict[str, float] = field(default_factory=dict)
+    wait_until: float = float("-inf")
+    num_impossible: int = 0
+    num_checkpointed: int = 0
+    is_done: bool = False
+
+    def avoid(self, worker_id: str, until: float) -> None:
+        """Keep the item from a worker for a while."""
+        self.avoided[worker_id] = until
+
+    def avoided_now(self, now: float) -> frozenset[str]:
+        """Return the workers it must not go to."""
+        return frozenset(worker_id for worker_id, until in self.avoided.items() if until > now)
+
+    def num_expected_tokens(self, tokens_per_event: int) -> int:
+        """Return how many tokens are still to be made, as estimated; longer than the estimate counts anew."""
+        estimate = self.item.num_expected_tokens or self.item.num_tokens // 2
+        return max(estimate - len(self.text.pieces) * tokens_per_event, tokens_per_event)
+
+
+def text_to_start_from(ledger: BatchLedger, item_id: str, batch: Batch, route: Route) -> TextBuilder:
+    """Return the kept text of an item if this batch may use it, else an empty one."""
+    kept = ledger.kept_text(item_id) or ledger.completed_text(item_id)
+    if kept is None:
+        return TextBuilder()
+    text = TextBuilder.from_text(kept)
+    is_too_old = any(version < batch.header.min_version for version in text.versions)
+    if is_too_old or (route.needs_one_version and len(text.versions) > 1):
+        text.clear()
+    return text
--- a/src/worksramp/rollout/job_service.py
+++ b/src/worksramp/rollout/job_service.py
@@ -13,12 +13,12 @@
 import msgspec
 import structlog
 
+from worksramp.backends.base import LogClient, ScorerClient
 from worksramp.coordination.fold import Accepted
 from worksramp.coordination.peers import encode_entry
 from worksramp.coordination.replica import StreamReplica
 from worksramp.coordination.shard import ShardService
 from worksramp.outcomes import NotStartedError, StepError
-from worksramp.backends.base import LogClient, ScorerClient
 from worksramp.rollout.bodies import SampleBodies
 from worksramp.rollout.document import JobSpec, Preference
 from worksramp.rollout.job import BatchCommitted, JobState, SampleFinished, Segment
--- a/src/worksramp/rollout/prompts.py
+++ b/src/worksramp/rollout/prompts.py
@@ -6,8 +6,8 @@
 import msgspec
 import xxhash
 
-from worksramp.outcomes import StepError
 from worksramp.backends.base import LogClient
+from worksramp.outcomes import StepError
 
 PAGE_RECORDS = 512
 
--- a/src/worksramp/rollout/sampler.py
+++ b/src/worksramp/rollout/sampler.py
@@ -2,8 +2,8 @@
 
 from contextlib import aclosing
 
-from worksramp.outcomes import StepError
 from worksramp.backends.base import EngineClient, GenerateRequest, GenerationChunk
+from worksramp.outcomes import StepError
 from worksramp.routing.generation import GenerationPolicy, generate_resumable
 from worksramp.routing.limits import RetryBudget
 from worksramp.routing.pool import WorkerPool
--- /dev/null
+++ b/src/worksramp/rollout/shard.py
@@ -0,0 +1,235 @@
+"""A node's part in one shard of batches: replica, lease, and the owner's work while the lease is held."""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import anyio
+import structlog
+
+from worksramp.coordination.fenced_writer import FencedWriter, OwnershipLostError
+from worksramp.coordination.keyed_replica import Change, KeyedReplica, NotCurrentError
+from worksramp.coordination.log_lease import (
+    OWNER_KEY,
+    ClaimLease,
+    LeaseTimes,
+    LeaseView,
+    OwnerRecord,
+    decide_claim,
+    may_order,
+)
+from worksramp.coordination.shared_log import (
+    Appended,
+    KeyedRecord,
+    OutcomeOpen,
+    Partition,
+    SharedLog,
+)
+from worksramp.rollout.batch_owner import BatchOwner, OwnerContext, TableSource
+from worksramp.rollout.batches import BatchLedger
+from worksramp.routing.worker_port import WorkerPort
+from worksramp.routing.workers import WorkerDirectory
+from worksramp.weights.version_mover import MoverContext, VersionMover
+from worksramp.wire import decode, encode
+
+CLAIM_TICK_SECONDS = 0.05
+MAX_JITTER_SECONDS = 0.3
+CLAIM_TRIES = 4
+CLAIM_BARRIER_SECONDS = 2.0
+RELEASE_SECONDS = 1.5
+
+logger = structlog.get_logger()
+
+
+@dataclass(frozen=True, slots=True)
+class ShardContext:
+    """What a node's part in a shard works with.
+
+    Attributes:
+        node: name of the machine.
+        boot: random text of this start of the process.
+    """
+
+    log: SharedLog
+    partition: Partition
+    node: str
+    boot: str
+    times: LeaseTimes
+    poll_seconds: float
+    directory: WorkerDirectory
+    port: WorkerPort
+    table: TableSource
+    named_versions: dict[str, int]
+    max_loading: int
+    may_own: Callable[[], bool]
+
+
+@dataclass(slots=True)
+class BatchShard:
+    """One shard on one node."""
+
+    context: ShardContext
+    ledger: BatchLedger = field(default_factory=BatchLedger)
+    replica: KeyedReplica = field(init=False)
+    owner_record: OwnerRecord | None = None
+    owner_changed_at: float = float("-inf")
+    _owner: BatchOwner | None = None
+    _writer: FencedWriter | None = None
+    _is_stopping: bool = False
+    _jitter: float = 0.0
+
+    def __post_init__(self) -> None:
+        context = self.context
+        self.replica = KeyedReplica(context.log, context.partition, context.poll_seconds, self._take_change)
+        self._jitter = random.uniform(0.0, MAX_JITTER_SECONDS)
+
+    @property
+    def is_owner(self) -> bool:
+        """Whether this node holds the lease, as far as it knows."""
+        return self._owner is not None
+
+    def wake(self) -> None:
+        """Tell the owner's work that the directory or the configuration has changed."""
+        if self._owner is not None:
+            self._owner.wake()
+
+    async def run(self) -> None:
+        """Follow the partition and own the shard whenever the lease falls to this node."""
+        async with anyio.create_task_group() as group:
+            group.start_soon(self.replica.follow)
+            await self.replica.wait_loaded()
+            self.owner_changed_at = anyio.current_time()
+            while True:
+                decision = decide_claim(self._view(), self.context.times, anyio.current_time())
+                if isinstance(decision, ClaimLease):
+                    await self._claim_and_own(decision.epoch)
+                await anyio.sleep(CLAIM_TICK_SECONDS)
+
+    async def stop(self) -> None:
+        """Close the runs, keep their texts and give the lease back."""
+        self._is_stopping = True
+        owner, writer = self._owner, self._writer
+        if owner is None or writer is None:
+            return
+        owner.stop_runs()
+        with anyio.move_on_after(RELEASE_SECONDS):
+            while writer.num_waiting:
+                await anyio.sleep(CLAIM_TICK_SECONDS)
+            await writer.release()
+            logger.info("lease_released", epoch=writer.owner.epoch)
+
+    def _take_change(self, change: Change) -> None:
+        if change.key == OWNER_KEY and change.value is not None:
+            self.owner_record = decode(change.value, OwnerRecord)
+            self.owner_changed_at = anyio.current_time()
+            return
+        self.ledger.apply(change)
+        self.wake()
+
+    def _view(self) -> LeaseView:
+        return LeaseView(
+            owner=self.owner_record,
+            owner_changed_at=self.owner_changed_at,
+            replica_age=self.replica.confirmed_age(),
+            may_own=self.context.may_own() and not self._is_stopping,
+            jitter=self._jitter,
+        )
+
+    async def _claim_and_own(self, epoch: int) -> None:
+        claimed_at = anyio.current_time()
+        record = OwnerRecord(self.context.node, self.context.boot, epoch)
+        silence = claimed_at - self.owner_changed_at
+        former = self.owner_record.node if self.owner_record else ""
+        is_won = await self._claim(record)
+        logger.info("lease_claimed", epoch=epoch, is_won=is_won, former=former, silence_seconds=round(silence, 3))
+        if is_won:
+            await self._own(record, claimed_at)
+
+    async def _claim(self, record: OwnerRecord) -> bool:
+        """Append the owner's record at the end that this node's copy has reached.
+
+        Not yet fenced: claimants of one epoch would share its first sequence number, and the store gives a
+        repeated number its first answer again, so that all of them would read that they had won.
+        """
+        assert self.replica.position is not None
+        end = self.replica.position
+        for _ in range(CLAIM_TRIES):
+            outcome = await self.context.log.append(
+                self.context.partition, (KeyedRecord(OWNER_KEY, encode(record)),), expected_end=end
+            )
+            if isinstance(outcome, Appended):
+                return True
+            if not isinstance(outcome, OutcomeOpen):
+                break
+        return await self._is_claim_in(record)
+
+    async def _is_claim_in(self, record: OwnerRecord) -> bool:
+        try:
+            await self.replica.barrier(CLAIM_BARRIER_SECONDS)
+        except NotCurrentError:
+            return False
+        seen = self.owner_record
+        return seen is not None and (seen.boot, seen.epoch) == (record.boot, record.epoch)
+
+    async def _own(self, record: OwnerRecord, claimed_at: float) -> None:
+        context = self.context
+        writer = FencedWriter(context.log, context.partition, record, context.times.renewal)
+        owner = BatchOwner(
+            OwnerContext(
+                self.ledger,
+                context.directory,
+                context.port,
+                writer,
+                context.table,
+                context.log.limits.max_record_bytes,
+            )
+        )
+        mover = VersionMover(self._mover_context(owner, writer, record.epoch, claimed_at))
+        try:
+            async with anyio.create_task_group() as group:
+                # From the first fenced append on the store refuses former owners; what they wrote until then
+                # must be in the copy before positions are given out.
+                first_end = await writer.begin()
+                await self.replica.wait_position(first_end)
+                group.start_soon(writer.run)
+                self._writer, self._owner = writer, owner
+                group.start_soon(mover.run)
+                group.start_soon(self._end_with_lease, writer, group.cancel_scope)
+                await owner.run()
+        except* OwnershipLostError:
+            logger.warning("lease_lost", epoch=record.epoch)
+        finally:
+            self._owner = None
+            self._writer = None
+
+    async def _end_with_lease(self, writer: FencedWriter, scope: anyio.CancelScope) -> None:
+        """End the owner's work once the lease is given back or another node has claimed."""
+        while not writer.owner.is_released:
+            if self.owner_record is not None and self.owner_record.epoch > writer.owner.epoch:
+                logger.warning("lease_lost", epoch=writer.owner.epoch, to=self.owner_record.node)
+                break
+            await anyio.sleep(CLAIM_TICK_SECONDS)
+        scope.cancel()
+
+    def _mover_context(
+        self, owner: BatchOwner, writer: FencedWriter, epoch: int, claimed_at: float
+    ) -> MoverContext:
+        context = self.context
+
+        def is_order_allowed() -> bool:
+            now = anyio.current_time()
+            is_first = epoch == 1
+            guard_from = float("-inf") if is_first else claimed_at
+            return not self._is_stopping and may_order(now, guard_from, writer.renewed_at, context.times)
+
+        return MoverContext(
+            directory=context.directory,
+            port=context.port,
+            work=owner,
+            named_versions=context.named_versions,
+            table=lambda: context.table.current,
+            may_order=is_order_allowed,
+            holder=context.node,
+            fence=epoch,
+            max_loading=context.max_loading,
+        )
--- a/src/worksramp/routing/generation.py
+++ b/src/worksramp/routing/generation.py
@@ -6,8 +6,8 @@
 
 import msgspec
 
-from worksramp.outcomes import InterruptedStepError, NotStartedError, StepError
 from worksramp.backends.base import EngineClient, GenerateRequest, GenerationChunk
+from worksramp.outcomes import InterruptedStepError, NotStartedError, StepError
 from worksramp.routing.choice import PREFIX_CHARACTERS, RouteRequest
 from worksramp.routing.limits import DEFAULT_RETRY_AFTER_SECONDS, RetryBudget, final_failure
 from worksramp.routing.pool import WorkerPool
--- a/src/worksramp/routing/pool.py
+++ b/src/worksramp/routing/pool.py
@@ -6,8 +6,8 @@
 
 import anyio
 
-from worksramp.outcomes import NotStartedError, StepError
 from worksramp.backends.base import Machine, WorkerReport
+from worksramp.outcomes import NotStartedError, StepError
 from worksramp.routing.choice import RouteRequest, choose_worker
 from worksramp.routing.leases import Worker, WorkerTable
 from worksramp.routing.subset import choose_subset, num_nodes_per_worker
--- /dev/null
+++ b/src/worksramp/routing/workers.py
@@ -0,0 +1,110 @@
+"""Directory of workers as their entries tell it, with what this node has learned itself."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+
+@dataclass(frozen=True, slots=True)
+class WorkerEntry:
+    """What a worker says of itself.
+
+    Attributes:
+        worker_id: id of this start of the worker.
+        address: ``ip:port``.
+        is_leaving: it takes no new work.
+        num_slots: requests it runs at once.
+        model_versions: version of each model it holds.
+        order_sequence: orders it has taken, as far as the entry says.
+    """
+
+    worker_id: str
+    service: str
+    address: str
+    zone: str
+    num_slots: int
+    is_leaving: bool = False
+    model_versions: dict[str, int] = field(default_factory=dict)
+    order_sequence: int = 0
+
+
+@dataclass(slots=True)
+class WorkerState:
+    """One worker as this node believes it to be.
+
+    Attributes:
+        num_in_flight: requests this node has there now.
+        told_load: requests running and waiting as the worker said last, and when.
+        avoid_until: this node sends nothing there before, on its own clock.
+        num_recent_failures: broken answers since the last good one.
+        latency_seconds: moving mean of good answers, None before the first.
+    """
+
+    entry: WorkerEntry
+    num_in_flight: int = 0
+    told_running: int = 0
+    told_waiting: int = 0
+    told_at: float = float("-inf")
+    avoid_until: float = float("-inf")
+    num_recent_failures: int = 0
+    latency_seconds: float | None = None
+    versions: dict[str, int] = field(default_factory=dict)
+    is_gone: bool = False
+
+    def estimated_load(self, now: float, told_valid_seconds: float) -> float:
+        """Return requests at the worker for each of its slots."""
+        told = self.told_running + self.told_waiting if now - self.told_at < told_valid_seconds else 0
+        return max(self.num_in_flight, told) / max(1, self.entry.num_slots)
+
+
+class WorkerDirectory:
+    """All workers that can be used, by id."""
+
+    def __init__(self) -> None:
+        self._states: dict[str, WorkerState] = {}
+        self._left: set[str] = set()
+        self.revision = 0
+
+    def put(self, entry: WorkerEntry) -> None:
+        """Take in a worker's entry. Leaving is for good."""
+        self.revision += 1
+        if entry.is_leaving:
+            self._left.add(entry.worker_id)
+        state = self._states.get(entry.worker_id)
+        if state is None:
+            self._states[entry.worker_id] = WorkerState(entry, versions=dict(entry.model_versions))
+            return
+        state.entry = entry
+        for model, version in entry.model_versions.items():
+            state.versions[model] = max(version, state.versions.get(model, 0))
+
+    def remove(self, worker_id: str) -> None:
+        """Take in that a worker's entry is gone."""
+        self.revision += 1
+        state = self._states.pop(worker_id, None)
+        if state is not None:
+            state.is_gone = True
+
+    def mark_leaving(self, worker_id: str) -> None:
+        """Take in that a worker was found to be leaving, or to be another one, by its own answer."""
+        self._left.add(worker_id)
+        self.revision += 1
+
+    def get(self, worker_id: str) -> WorkerState | None:
+        """Return a worker's state, None when it has no entry."""
+        return self._states.get(worker_id)
+
+    def is_usable(self, worker_id: str) -> bool:
+        """Return whether new work may go there."""
+        return worker_id in self._states and worker_id not in self._left
+
+    def usable(self, service: str) -> list[WorkerState]:
+        """Return the workers of a service that take new work, in a fixed order."""
+        return [
+            state
+            for worker_id, state in sorted(self._states.items())
+            if state.entry.service == service and worker_id not in self._left
+        ]
+
+    def all_states(self) -> Iterable[WorkerState]:
+        """Return all workers that have an entry."""
+        return list(self._states.values())
--- a/src/worksramp/settings.py
+++ b/src/worksramp/settings.py
@@ -12,26 +12,12 @@
 
 from worksramp.addresses import reason_bad_address
 from worksramp.routing.subset import DEFAULT_SUBSET_SIZE
+from worksramp.settings_error import SettingsError
 
 SHA256_PATTERN = re.compile(r"^[0-9a-f]{64}$")
 ZONE_PATTERN = re.compile(r"^[a-z0-9][a-z0-9-]{0,62}$")
 
 
-class SettingsError(Exception):
-    """The settings cannot be used.
-
-    Attributes:
-        file: the settings file.
-        path: path of the field in the file.
-    """
-
-    def __init__(self, file: str, path: str, reason: str) -> None:
-        super().__init__(f"{file}: {path}: {reason}")
-        self.file = file
-        self.path = path
-        self.reason = reason
-
-
 class Role(StrEnum):
     """What a node does."""
 
--- a/src/worksramp/weights/fleet_service.py
+++ b/src/worksramp/weights/fleet_service.py
@@ -11,10 +11,10 @@
 import msgspec
 import structlog
 
+from worksramp.backends.base import EngineClient, LoadOrder, Machine, WeightStoreClient, WorkerReport
 from worksramp.coordination.replica import StreamReplica
 from worksramp.coordination.shard import ShardService
 from worksramp.outcomes import StepError
-from worksramp.backends.base import EngineClient, LoadOrder, Machine, WeightStoreClient, WorkerReport
 from worksramp.transport.messages import (
     AnnounceVersion,
     NodeReply,
--- /dev/null
+++ b/src/worksramp/weights/version_mover.py
@@ -0,0 +1,201 @@
+"""Shell around the decision of version moves: gives the orders and believes only what workers report."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Protocol
+
+import anyio
+import anyio.abc
+import structlog
+
+from worksramp.routing.table import RouteTable
+from worksramp.routing.worker_port import (
+    OrderHeldAlready,
+    OrderOpen,
+    OrderRefused,
+    OrderTaken,
+    RunsDuringLoad,
+    VersionOrder,
+    WorkerPort,
+    WorkerReport,
+)
+from worksramp.routing.workers import WorkerDirectory, WorkerState
+from worksramp.weights.version_moves import ModelNeed, Move, WorkerVersion, decide_moves
+
+TICK_SECONDS = 0.05
+FIRST_LOOK_SECONDS = 0.85
+LOOK_AGAIN_SECONDS = 0.25
+MAX_LOOKS = 12
+PAUSE_AFTER_FAILURE_SECONDS = 0.5
+
+logger = structlog.get_logger()
+
+
+class FleetWork(Protocol):
+    """What the mover asks of whoever gives work to the fleet."""
+
+    loading: dict[str, str]
+
+    def num_running(self, worker_id: str, model: str) -> int:
+        """Return the runs of a model at a worker."""
+
+    def num_waiting(self, model: str) -> int:
+        """Return the items of a model that wait for a place."""
+
+    def min_version(self, model: str) -> int:
+        """Return the oldest version that any open item may use."""
+
+    def has_one_version_work(self, model: str) -> bool:
+        """Return whether any open item needs one version for all its text."""
+
+    def wake(self) -> None:
+        """Look again at once."""
+
+
+@dataclass(frozen=True, slots=True)
+class MoverContext:
+    """What the mover works with.
+
+    Attributes:
+        named_versions: newest version of each model, kept up to date by the node.
+        may_order: whether the lease allows an order at this moment.
+        holder: name of this machine.
+        fence: epoch of the lease.
+    """
+
+    directory: WorkerDirectory
+    port: WorkerPort
+    work: FleetWork
+    named_versions: dict[str, int]
+    table: Callable[[], RouteTable | None]
+    may_order: Callable[[], bool]
+    holder: str
+    fence: int
+    max_loading: int
+
+
+@dataclass(slots=True)
+class VersionMover:
+    """Orders workers to take new versions while this node holds the lease."""
+
+    context: MoverContext
+    _pause_until: dict[str, float] = field(default_factory=dict)
+
+    async def run(self) -> None:
+        """Give orders until cancelled."""
+        async with anyio.create_task_group() as group:
+            while True:
+                if self.context.may_order():
+                    self._order_what_is_due(group)
+                await anyio.sleep(TICK_SECONDS)
+
+    def _order_what_is_due(self, group: anyio.abc.TaskGroup) -> None:
+        work = self.context.work
+        for move in decide_moves(self._needs(), len(work.loading), self.context.max_loading):
+            work.loading[move.worker_id] = move.model
+            group.start_soon(self._carry_out, move)
+
+    def _needs(self) -> list[ModelNeed]:
+        table = self.context.table()
+        if table is None:
+            return []
+        return [
+            self._need(service, model, self.context.named_versions[model])
+            for service, spec in table.services.items()
+            for model in spec.models
+            if model in self.context.named_versions
+        ]
+
+    def _need(self, service: str, model: str, named_version: int) -> ModelNeed:
+        work = self.context.work
+        now = anyio.current_time()
+        workers = tuple(
+            WorkerVersion(
+                state.entry.worker_id,
+                state.versions.get(model, 0),
+                work.num_running(state.entry.worker_id, model),
+                state.entry.worker_id in work.loading
+                or self._pause_until.get(state.entry.worker_id, now) > now,
+            )
+            for state in self.context.directory.usable(service)
+        )
+        return ModelNeed(
+            model,
+            named_version,
+            work.min_version(model),
+            work.num_waiting(model),
+            work.has_one_version_work(model),
+            workers,
+        )
+
+    async def _carry_out(self, move: Move) -> None:
+        worker_id = move.worker_id
+        try:
+            state = self.context.directory.get(worker_id)
+            if state is not None and not await self._load(state, move):
+                self._pause_until[worker_id] = anyio.current_time() + PAUSE_AFTER_FAILURE_SECONDS
+        finally:
+            self.context.work.loading.pop(worker_id, None)
+            self.context.work.wake()
+
+    async def _load(self, state: WorkerState, move: Move) -> bool:
+        """Order one load and wait until the worker reports its end; return whether it holds the version."""
+        before = await self.context.port.report(state.entry)
+        if before is None:
+            return False
+        self._believe(state, before)
+        if before.model_versions.get(move.model, 0) >= move.version:
+            return True
+        if before.is_busy:
+            return await self._wait_for(state, move)
+        # The lease may have run out while the report was on its way.
+        if not self.context.may_order():
+            return False
+        outcome = await self.context.port.order_version(state.entry, self._order(move, before))
+        logger.info(
+            "version_ordered",
+            worker=move.worker_id,
+            model=move.model,
+            version=move.version,
+            fence=self.context.fence,
+            expected_sequence=before.order_sequence,
+            outcome=type(outcome).__name__,
+            reason=getattr(outcome, "reason", ""),
+        )
+        if isinstance(outcome, OrderHeldAlready):
+            state.versions[move.model] = move.version
+            return True
+        if isinstance(outcome, OrderRefused):
+            return False
+        assert isinstance(outcome, (OrderTaken, OrderOpen))
+        await anyio.sleep(FIRST_LOOK_SECONDS)
+        return await self._wait_for(state, move)
+
+    def _order(self, move: Move, before: WorkerReport) -> VersionOrder:
+        runs = RunsDuringLoad.FINISH_FIRST if move.lets_runs_finish else RunsDuringLoad.CONTINUE
+        return VersionOrder(
+            move.model,
+            move.version,
+            runs,
+            self.context.holder,
+            self.context.fence,
+            before.order_sequence,
+        )
+
+    async def _wait_for(self, state: WorkerState, move: Move) -> bool:
+        for _ in range(MAX_LOOKS):
+            report = await self.context.port.report(state.entry)
+            if report is not None:
+                self._believe(state, report)
+                if not report.is_busy:
+                    return report.model_versions.get(move.model, 0) >= move.version
+            if state.is_gone:
+                return False
+            await anyio.sleep(LOOK_AGAIN_SECONDS)
+        return False
+
+    def _believe(self, state: WorkerState, report: WorkerReport) -> None:
+        for model, version in report.model_versions.items():
+            if version != state.versions.get(model):
+                logger.info("version_seen", worker=state.entry.worker_id, model=model, version=version)
+            state.versions[model] = version
--- a/src/worksramp_emulator/engine.py
+++ b/src/worksramp_emulator/engine.py
@@ -16,8 +16,8 @@
 import msgspec
 from anyio.streams.memory import MemoryObjectReceiveStream, MemoryObjectSendStream
 
-from worksramp.outcomes import InterruptedStepError, NotStartedError
 from worksramp.backends.base import GenerateRequest, GenerationChunk, LoadOrder, WorkerReport
+from worksramp.outcomes import InterruptedStepError, NotStartedError
 from worksramp_emulator.faults import Faults
 from worksramp_emulator.text import completion_length, token_at
 
--- a/src/worksramp_emulator/hollow.py
+++ b/src/worksramp_emulator/hollow.py
@@ -10,11 +10,11 @@
 import httpx
 import msgspec
 
+from worksramp.backends.base import Machine, MachineListClient, MachineRole
+from worksramp.backends.http import http_platform
 from worksramp.logs import configure_logs
 from worksramp.node.main import make_identity
 from worksramp.node.node import Node
-from worksramp.backends.base import Machine, MachineListClient, MachineRole
-from worksramp.backends.http import http_platform
 from worksramp.settings import NodeSettings
 from worksramp.transport.tcp import TcpTransport
 from worksramp_emulator.engine import EngineCore, EngineProfile
--- a/src/worksramp_emulator/http_apps.py
+++ b/src/worksramp_emulator/http_apps.py
@@ -14,9 +14,9 @@
 from starlette.responses import Response
 from starlette.routing import Route
 
-from worksramp.outcomes import InterruptedStepError, NotStartedError
 from worksramp.backends.base import ApplicationRequest, GenerateRequest, LoadOrder, Machine
 from worksramp.backends.http import NOT_STARTED_CODE, AppendReply, RefusalBody, ScoreReply, VersionReply
+from worksramp.outcomes import InterruptedStepError, NotStartedError
 from worksramp_emulator.engine import EngineCore
 from worksramp_emulator.faults import Faults
 from worksramp_emulator.platform import (
--- a/src/worksramp_emulator/platform.py
+++ b/src/worksramp_emulator/platform.py
@@ -8,7 +8,6 @@
 import msgspec
 import xxhash
 
-from worksramp.outcomes import NotStartedError
 from worksramp.backends.base import (
     ApplicationReply,
     ApplicationRequest,
@@ -20,6 +19,7 @@
     WeightStoreClient,
     WorkerReport,
 )
+from worksramp.outcomes import NotStartedError
 from worksramp_emulator.faults import Faults
 
 REWARD_MODULUS = 1000
--- a/src/worksramp_emulator/simulation/clients.py
+++ b/src/worksramp_emulator/simulation/clients.py
@@ -8,7 +8,6 @@
 import anyio.abc
 import msgspec
 
-from worksramp.outcomes import InterruptedStepError, NotStartedError, StepError
 from worksramp.backends.base import (
     ApplicationClient,
     ApplicationReply,
@@ -26,6 +25,7 @@
     WeightStoreClient,
     WorkerReport,
 )
+from worksramp.outcomes import InterruptedStepError, NotStartedError, StepError
 from worksramp_emulator.engine import EngineCore
 from worksramp_emulator.platform import (
     ApplicationCore,
--- a/src/worksramp_emulator/simulation/mutations.py
+++ b/src/worksramp_emulator/simulation/mutations.py
@@ -10,12 +10,12 @@
 import anyio
 import msgspec
 
+from worksramp.backends.base import GenerationChunk
 from worksramp.coordination import replication
 from worksramp.coordination.configuration_service import ConfigurationService
 from worksramp.coordination.ledger_service import LedgerService, Running
 from worksramp.node.node import Node
 from worksramp.outcomes import ExecutionOutcome, NotRun, OutcomeUnknown
-from worksramp.backends.base import GenerationChunk
 from worksramp.rollout.job import Batch, FinishedSample, JobState, SampleFinished
 from worksramp.rollout.job_service import DeliveredBatch, JobService, to_delivered
 from worksramp.rollout.planner import BatchPlan
--- a/src/worksramp_emulator/simulation/world.py
+++ b/src/worksramp_emulator/simulation/world.py
@@ -9,10 +9,10 @@
 import httpx
 import msgspec
 
+from worksramp.backends.base import GenerateRequest, Machine, MachineRole
 from worksramp.gateway.app import make_application
 from worksramp.node.node import Identity, Node
 from worksramp.outcomes import NotStartedError, StepError
-from worksramp.backends.base import GenerateRequest, Machine, MachineRole
 from worksramp.rollout.document import TenantDocument, group_name
 from worksramp.rollout.prompts import prompt_set_name, prompt_stream, write_prompts
 from worksramp_emulator.engine import EngineCore
--- a/tests/steps/test_directed.py
+++ b/tests/steps/test_directed.py
@@ -8,9 +8,9 @@
 import msgspec
 from pytest_bdd import given, parsers, scenarios, then, when
 
+from worksramp.backends.base import GenerateRequest, GenerationChunk
 from worksramp.logs import configure_logs
 from worksramp.outcomes import InterruptedStepError
-from worksramp.backends.base import GenerateRequest, GenerationChunk
 from worksramp_emulator.engine import EngineCore, EngineProfile
 from worksramp_emulator.simulation.clock import run_simulated
 from worksramp_emulator.simulation.fault_runner import apply_fault
--- a/tests/unit/test_not_run.py
+++ b/tests/unit/test_not_run.py
@@ -6,8 +6,6 @@
 import anyio
 import pytest
 
-from worksramp.gateway.live import LiveTraffic
-from worksramp.outcomes import InterruptedStepError, NotStartedError
 from worksramp.backends.base import (
     ApplicationClient,
     ApplicationReply,
@@ -21,6 +19,8 @@
     Platform,
     WorkerReport,
 )
+from worksramp.gateway.live import LiveTraffic
+from worksramp.outcomes import InterruptedStepError, NotStartedError
 from worksramp.routing.generation import GenerationPolicy, generate_resumable
 from worksramp.routing.limits import RetryBudget
 from worksramp.routing.pool import WorkerPool
