--- a/src/worksramp/coordination/fenced_writer.py
+++ b/src/worksramp/coordination/fenced_writer.py
@@ -22,6 +22,7 @@
 RETRY_PAUSE_SECONDS = 0.05
 MAX_RETRY_PAUSE_SECONDS = 0.3
 RECORD_OVERHEAD_BYTES = 300
+RENEWAL_SHARE = 0.8
 
 logger = structlog.get_logger()
 
@@ -48,6 +49,7 @@
         self._renewal_seconds = renewal_seconds
         self._wanted = anyio.Event()
         self._released = False
+        self._renewal_written_at = float("-inf")
         self.renewed_at = anyio.current_time()
 
     @property
@@ -94,7 +96,9 @@
     async def _append_batch(self, is_release: bool) -> None:
         batch = self._take_batch()
         now = anyio.current_time()
-        if is_release or now - self.renewed_at >= self._renewal_seconds * 0.8 or not batch:
+        # Other nodes watch the owner's record alone, so it must be written however much else is.
+        if is_release or now - self._renewal_written_at >= RENEWAL_SHARE * self._renewal_seconds or not batch:
+            self._renewal_written_at = now
             self._owner = OwnerRecord(
                 self._owner.node, self._owner.boot, self._owner.epoch, self._owner.renewal + 1, is_release
             )
