--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Puts the libraries and the product, compiled, under target/deps; the libraries only when their list has changed.
+# Puts the libraries and the product, compiled, under target/deps; each only when its sources have changed.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 if [ ! target/deps/.requirements -nt deploy/requirements.txt ]; then
@@ -7,6 +7,9 @@
   python3 -m pip install -q --target target/deps -r deploy/requirements.txt
   touch target/deps/.requirements
 fi
-rm -rf target/deps/worksramp target/deps/worksramp_platform
-cp -r src/worksramp platform/worksramp_platform target/deps/
-python3 -m compileall -q target/deps
+if [ ! -e target/deps/.product ] || [ -n "$(find src/worksramp platform/worksramp_platform -newer target/deps/.product -name '*.py' -print -quit)" ]; then
+  rm -rf target/deps/worksramp target/deps/worksramp_platform
+  cp -r src/worksramp platform/worksramp_platform target/deps/
+  python3 -m compileall -q target/deps
+  touch target/deps/.product
+fi
--- a/src/worksramp/coordination/fenced_writer.py
+++ b/src/worksramp/coordination/fenced_writer.py
@@ -138,4 +138,6 @@
                 pause = min(2 * pause, MAX_RETRY_PAUSE_SECONDS)
                 continue
             logger.warning("owner_lost", epoch=fence.epoch, sequence=fence.sequence, outcome=str(outcome))
-            raise OwnershipLostError(type(outcome).__name__ if isinstance(outcome, FencedOff) else str(outcome))
+            raise OwnershipLostError(
+                type(outcome).__name__ if isinstance(outcome, FencedOff) else str(outcome)
+            )
--- a/src/worksramp/coordination/keyed_replica.py
+++ b/src/worksramp/coordination/keyed_replica.py
@@ -128,7 +128,9 @@
         started = anyio.current_time()
         answer = await self._log.read(self._partition, self.position, self._poll_seconds)
         if isinstance(answer, RecordsGone):
-            logger.info("replica_reload", topic=self._partition.topic, position=self.position, first=answer.first)
+            logger.info(
+                "replica_reload", topic=self._partition.topic, position=self.position, first=answer.first
+            )
             await self._load()
             return
         for record in answer.records:
--- a/src/worksramp/coordination/shared_log.py
+++ b/src/worksramp/coordination/shared_log.py
@@ -175,9 +175,7 @@
         """Append all records or none."""
 
     @abstractmethod
-    async def read(
-        self, partition: Partition, start: int, wait_seconds: float
-    ) -> RecordsRead | RecordsGone:
+    async def read(self, partition: Partition, start: int, wait_seconds: float) -> RecordsRead | RecordsGone:
         """Read records from an offset, waiting up to ``wait_seconds`` for the first.
 
         Raises:
--- a/src/worksramp/edge/node.py
+++ b/src/worksramp/edge/node.py
@@ -10,7 +10,14 @@
 from worksramp.coordination.keyed_replica import Change, KeyedReplica
 from worksramp.coordination.log_lease import LeaseTimes
 from worksramp.coordination.shared_log import SharedLog
-from worksramp.edge.ports import PlatformRecords, TableAccepted, Unreadable, VersionNamed, WorkerGone, WorkerSeen
+from worksramp.edge.ports import (
+    PlatformRecords,
+    TableAccepted,
+    Unreadable,
+    VersionNamed,
+    WorkerGone,
+    WorkerSeen,
+)
 from worksramp.edge.settings import EdgeBounds, EdgeSettings
 from worksramp.rollout.batch_owner import TableSource
 from worksramp.rollout.batch_service import BatchService, ServiceTimes
--- a/src/worksramp/edge/serve.py
+++ b/src/worksramp/edge/serve.py
@@ -35,7 +35,9 @@
         group.start_soon(serve_http)
         group.start_soon(node.run)
         group.start_soon(_follow_idle_limit, node, config)
-        logger.info("started", node=node.settings.node_id, zone=node.settings.zone, listen=node.settings.listen)
+        logger.info(
+            "started", node=node.settings.node_id, zone=node.settings.zone, listen=node.settings.listen
+        )
         await _wait_for_stop_signal()
         await node.stop()
         http_stop.set()
--- a/src/worksramp/rollout/batch_owner.py
+++ b/src/worksramp/rollout/batch_owner.py
@@ -275,9 +275,7 @@
             if state.avoid_until <= now
         ]
 
-    def _place(
-        self, state: WorkerState, counts: dict[str, int], tokens: dict[str, int], now: float
-    ) -> Place:
+    def _place(self, state: WorkerState, counts: dict[str, int], tokens: dict[str, int], now: float) -> Place:
         worker_id = state.entry.worker_id
         loading = self.loading.get(worker_id)
         return Place(
@@ -434,9 +432,7 @@
         item = self._waiting_items([work], now)
         if not item:
             return False
-        others = [
-            place for place in self._places(now) if place.worker_id != worker_id and not place.is_slow
-        ]
+        others = [place for place in self._places(now) if place.worker_id != worker_id and not place.is_slow]
         return bool(assign(item, others))
 
     def _move(self, work: ItemWork, run: Run, reason: str, now: float) -> None:
--- a/src/worksramp/rollout/batch_run.py
+++ b/src/worksramp/rollout/batch_run.py
@@ -34,7 +34,9 @@
     @classmethod
     def from_text(cls, text: GeneratedText) -> "TextBuilder":
         """Return a builder that goes on from a kept text."""
-        return cls(list(text.pieces), text.last_event_id, list(text.versions), text.num_failures, text.is_whole)
+        return cls(
+            list(text.pieces), text.last_event_id, list(text.versions), text.num_failures, text.is_whole
+        )
 
     def freeze(self) -> GeneratedText:
         """Return the text so far."""
--- a/src/worksramp/rollout/batch_service.py
+++ b/src/worksramp/rollout/batch_service.py
@@ -128,7 +128,9 @@
                 return outcome
         return Accepted()
 
-    async def end(self, batch_id: str, retry_after_seconds: float) -> Accepted | Refused | Undecided | NoSuchBatch:
+    async def end(
+        self, batch_id: str, retry_after_seconds: float
+    ) -> Accepted | Refused | Undecided | NoSuchBatch:
         """End a batch."""
         batch = await self._find(batch_id)
         if isinstance(batch, NotSure):
@@ -139,7 +141,9 @@
             return Accepted()
         return await self._append((record_of_end(batch_id),), retry_after_seconds)
 
-    async def read(self, batch_id: str, start: int, wait_seconds: float) -> ResultPage | NoSuchBatch | NotSure:
+    async def read(
+        self, batch_id: str, start: int, wait_seconds: float
+    ) -> ResultPage | NoSuchBatch | NotSure:
         """Return results from a position on, waiting for the first if there is none yet."""
         batch = await self._find(batch_id)
         if not isinstance(batch, Batch):
--- a/src/worksramp/rollout/batches.py
+++ b/src/worksramp/rollout/batches.py
@@ -248,9 +248,7 @@
 
 def records_of_batch(header: BatchHeader, items: Iterable[BatchItem]) -> list[KeyedRecord]:
     """Return the records of a batch, its header last: the batch exists once the header is in."""
-    records = [
-        KeyedRecord(f"i/{header.batch_id}/{index}", encode(item)) for index, item in enumerate(items)
-    ]
+    records = [KeyedRecord(f"i/{header.batch_id}/{index}", encode(item)) for index, item in enumerate(items)]
     records.append(KeyedRecord(f"b/{header.batch_id}", encode(header)))
     return records
 
@@ -279,7 +277,8 @@
         return [KeyedRecord(f"r/{batch_id}/{position}", encode(result))]
     chunks = [result.text[start : start + room] for start in range(0, len(result.text), room)]
     records = [
-        KeyedRecord(f"t/{batch_id}/{position}/{part}", chunk.encode()) for part, chunk in enumerate(chunks[1:])
+        KeyedRecord(f"t/{batch_id}/{position}/{part}", chunk.encode())
+        for part, chunk in enumerate(chunks[1:])
     ]
     head = msgspec.structs.replace(result, text=chunks[0], num_more_parts=len(chunks) - 1)
     records.append(KeyedRecord(f"r/{batch_id}/{position}", encode(head)))
--- a/src/worksramp/rollout/shard.py
+++ b/src/worksramp/rollout/shard.py
@@ -141,7 +141,9 @@
         silence = claimed_at - self.owner_changed_at
         former = self.owner_record.node if self.owner_record else ""
         is_won = await self._claim(record)
-        logger.info("lease_claimed", epoch=epoch, is_won=is_won, former=former, silence_seconds=round(silence, 3))
+        logger.info(
+            "lease_claimed", epoch=epoch, is_won=is_won, former=former, silence_seconds=round(silence, 3)
+        )
         if is_won:
             await self._own(record, claimed_at)
 
--- a/src/worksramp/routing/forward.py
+++ b/src/worksramp/routing/forward.py
@@ -111,7 +111,9 @@
 class Forwarder:
     """Forwards live requests of one node."""
 
-    def __init__(self, directory: WorkerDirectory, port: WorkerPort, zone: str, source: random.Random) -> None:
+    def __init__(
+        self, directory: WorkerDirectory, port: WorkerPort, zone: str, source: random.Random
+    ) -> None:
         self._directory = directory
         self._port = port
         self._zone = zone
@@ -167,7 +169,9 @@
         if course.failure is not None:
             return course.failure
         if course.may_have_run:
-            return MayHaveRun(course.last_reason, is_late=anyio.current_time() >= ends_at - MIN_ATTEMPT_SECONDS)
+            return MayHaveRun(
+                course.last_reason, is_late=anyio.current_time() >= ends_at - MIN_ATTEMPT_SECONDS
+            )
         return NotRun(course.last_reason, min(0.25, route.objective_seconds / 2))
 
     def _choose(self, service: str, tried: list[str]) -> WorkerState | None:
@@ -348,7 +352,9 @@
             logger.info("stream_broken", request_id=request.request_id, last_event_id=last_id, reason=reason)
             if not route.is_resumable:
                 raise WorkerAnswerBrokenError(reason)
-            resumed = await self._resume(replace(request, resume_after=last_id), route, ends_at, course, opened)
+            resumed = await self._resume(
+                replace(request, resume_after=last_id), route, ends_at, course, opened
+            )
             if resumed is None:
                 raise WorkerAnswerBrokenError(f"not resumed: {reason}")
             answer = resumed
--- a/src/worksramp/routing/worker_port.py
+++ b/src/worksramp/routing/worker_port.py
@@ -154,9 +154,7 @@
     version_field: str
 
     @abstractmethod
-    def send(
-        self, worker: WorkerEntry, request: WorkerRequest
-    ) -> AbstractAsyncContextManager[WorkerAnswer]:
+    def send(self, worker: WorkerEntry, request: WorkerRequest) -> AbstractAsyncContextManager[WorkerAnswer]:
         """Send a request; leaving the context early closes its connection.
 
         Raises:
