--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
 	$(BIN)/mypy --strict
-	$(BIN)/lint-imports
+	PYTHONPATH=platform $(BIN)/lint-imports
 	$(BIN)/pytest
 
 faults: $(VENV)/.installed
--- a/src/worksramp/edge/node.py
+++ b/src/worksramp/edge/node.py
@@ -19,9 +19,9 @@
     WorkerSeen,
 )
 from worksramp.edge.settings import EdgeBounds, EdgeSettings
+from worksramp.edge.shard import BatchShard, ShardContext
 from worksramp.rollout.batch_owner import TableSource
 from worksramp.rollout.batch_service import BatchService, ServiceTimes
-from worksramp.rollout.shard import BatchShard, ShardContext
 from worksramp.routing.forward import Forwarder
 from worksramp.routing.table import RouteTable
 from worksramp.routing.worker_port import WorkerPort
@@ -71,7 +71,7 @@
     def __post_init__(self) -> None:
         settings, bounds = self.settings, self.settings.bounds
         poll = poll_seconds(bounds)
-        self.forwarder = Forwarder(self.directory, self.port, settings.zone, random.Random())
+        self.forwarder = Forwarder(self.directory, self.port, random.Random())
         self._control = KeyedReplica(self.log, self.records.control, poll, self._take_control)
         self._workers = KeyedReplica(self.log, self.records.workers, poll, self._take_worker)
         self.shard = BatchShard(
--- /dev/null
+++ b/src/worksramp/routing/attempts.py
@@ -0,0 +1,153 @@
+"""What all attempts of live requests share: choice of a worker, and what its answers teach."""
+
+import random
+from dataclasses import dataclass, field
+
+import anyio
+import structlog
+
+from worksramp.routing.table import Route
+from worksramp.routing.worker_port import HeaderList, WorkerAnswer, WorkerRequest
+from worksramp.routing.workers import WorkerDirectory, WorkerState
+
+TOLD_LOAD_SECONDS = 1.0
+AVOID_AFTER_FAILURE_SECONDS = 0.5
+AVOID_AFTER_FULL_SECONDS = 0.1
+LATENCY_SMOOTHING = 0.2
+#: Stands for the latency of a worker that has answered nothing yet: it is tried soon.
+UNKNOWN_LATENCY_SECONDS = 0.01
+MIN_WORKER_SECONDS = 0.001
+
+logger = structlog.get_logger()
+
+
+@dataclass(frozen=True, slots=True)
+class LiveRequest:
+    """A caller's request, read whole.
+
+    Attributes:
+        deadline_at: when the caller stops waiting, on this node's clock.
+    """
+
+    request_id: str
+    method: str
+    target: bytes
+    headers: HeaderList
+    body: bytes
+    received_at: float
+    deadline_at: float
+    resume_after: str | None = None
+
+    def ends_at(self, route: Route) -> float:
+        """Return when this node must have given its final answer."""
+        if route.timeout_seconds is None:
+            return self.deadline_at
+        return min(self.deadline_at, self.received_at + route.timeout_seconds)
+
+
+@dataclass(frozen=True, slots=True)
+class WholeAnswer:
+    """A worker's answer with its whole body."""
+
+    status: int
+    headers: HeaderList
+    body: bytes
+
+
+@dataclass(slots=True)
+class Course:
+    """What has happened to one request so far.
+
+    Attributes:
+        failure: an answer of failure to give if no attempt does better.
+    """
+
+    tried: list[str] = field(default_factory=list)
+    may_have_run: bool = False
+    last_reason: str = "no_worker"
+    failure: WholeAnswer | None = None
+
+
+class WorkerChoice:
+    """Chooses workers for attempts and takes in what came of them."""
+
+    def __init__(self, directory: WorkerDirectory, source: random.Random) -> None:
+        self._directory = directory
+        self._source = source
+
+    def choose(self, service: str, course: Course) -> WorkerState | None:
+        """Return the better of two workers drawn at random among the sound ones, None when none is left."""
+        now = anyio.current_time()
+        fresh = [
+            worker for worker in self._directory.usable(service) if worker.entry.worker_id not in course.tried
+        ]
+        sound = [worker for worker in fresh if worker.avoid_until <= now] or fresh
+        if not sound:
+            return None
+        drawn = self._source.sample(sound, min(2, len(sound)))
+        return min(drawn, key=lambda worker: self._cost(worker, now))
+
+    def choose_sound(self, service: str, course: Course) -> WorkerState | None:
+        """Return a worker that nothing speaks against, None when none is left."""
+        worker = self.choose(service, course)
+        if worker is None or worker.avoid_until > anyio.current_time():
+            return None
+        return worker
+
+    def choose_service(self, route: Route) -> str:
+        """Return a service of the route's split."""
+        return route.choose_service(self._source)
+
+    def take_refusal(self, answer: WorkerAnswer, worker: WorkerState, course: Course) -> bool:
+        """Take in an answer's head; return whether it says that the request has not run."""
+        now = anyio.current_time()
+        if answer.load is not None:
+            worker.told_running, worker.told_waiting = answer.load.num_running, answer.load.num_waiting
+            worker.told_at = now
+        if answer.is_other_worker:
+            self._directory.mark_leaving(worker.entry.worker_id)
+            course.last_reason = "other_worker"
+            return True
+        if not answer.is_not_run:
+            return False
+        worker.avoid_until = now + AVOID_AFTER_FULL_SECONDS
+        course.last_reason = f"worker_status_{answer.status}"
+        return True
+
+    def note_good(self, worker: WorkerState, seconds: float) -> None:
+        """Take in how long a whole answer took."""
+        worker.num_recent_failures = 0
+        before = worker.latency_seconds
+        change = 0.0 if before is None else LATENCY_SMOOTHING * (seconds - before)
+        worker.latency_seconds = seconds if before is None else before + change
+
+    def note_failure(self, request: LiveRequest, worker: WorkerState, course: Course, reason: str) -> None:
+        """Take in that an attempt came to nothing."""
+        worker.num_recent_failures += 1
+        worker.avoid_until = anyio.current_time() + AVOID_AFTER_FAILURE_SECONDS
+        course.last_reason = reason
+        logger.info(
+            "attempt_failed",
+            request_id=request.request_id,
+            worker=worker.entry.worker_id,
+            reason=reason,
+            may_have_run=course.may_have_run,
+        )
+
+    @staticmethod
+    def _cost(worker: WorkerState, now: float) -> float:
+        load = worker.estimated_load(now, TOLD_LOAD_SECONDS)
+        return (1.0 + load) * (worker.latency_seconds or UNKNOWN_LATENCY_SECONDS)
+
+
+def to_worker(request: LiveRequest, ends_at: float) -> WorkerRequest:
+    """Return a live request as it goes to a worker now."""
+    return WorkerRequest(
+        request_id=request.request_id,
+        method=request.method,
+        target=request.target,
+        headers=request.headers,
+        body=request.body,
+        deadline_seconds=max(MIN_WORKER_SECONDS, ends_at - anyio.current_time()),
+        resume_after=request.resume_after,
+    )
--- /dev/null
+++ b/src/worksramp/routing/live_stream.py
@@ -0,0 +1,151 @@
+"""Forwards one live stream: whole events, taken up at another worker where the route allows it."""
+
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack
+from dataclasses import dataclass, replace
+
+import anyio
+import structlog
+
+from worksramp.routing.attempts import Course, LiveRequest, WholeAnswer, WorkerChoice, to_worker
+from worksramp.routing.events import EventSplitter
+from worksramp.routing.table import Route
+from worksramp.routing.worker_port import (
+    HeaderList,
+    WorkerAnswer,
+    WorkerAnswerBrokenError,
+    WorkerPort,
+    WorkerUnreachableError,
+)
+from worksramp.routing.workers import WorkerState
+
+FIRST_FAILURE_STATUS = 300
+
+logger = structlog.get_logger()
+
+
+@dataclass(frozen=True, slots=True)
+class StreamAnswer:
+    """A worker's stream; ``events`` raises WorkerAnswerBrokenError when it cannot be brought to its end."""
+
+    status: int
+    headers: HeaderList
+    events: AsyncIterator[bytes]
+
+
+class LiveStream:
+    """One stream from its first attempt to its end.
+
+    Args:
+        ends_at: no attempt begins after this.
+    """
+
+    def __init__(
+        self, port: WorkerPort, choice: WorkerChoice, request: LiveRequest, route: Route, course: Course
+    ) -> None:
+        self._port = port
+        self._choice = choice
+        self._request = request
+        self._route = route
+        self._course = course
+        self._ends_at = request.ends_at(route)
+        self._opened = AsyncExitStack()
+
+    async def open(self, worker: WorkerState, stack: AsyncExitStack) -> StreamAnswer | WholeAnswer | None:
+        """Open the stream at a worker; None when another attempt is needed.
+
+        Args:
+            stack: holds the connection until the stream has been passed on.
+        """
+        stack.push_async_callback(self._opened.aclose)
+        answer: WorkerAnswer | None = None
+        with anyio.move_on_after(max(0.0, self._ends_at - anyio.current_time())):
+            answer = await self._send(worker, self._request)
+            if answer is not None and answer.status >= FIRST_FAILURE_STATUS:
+                return await self._failure(answer, worker)
+        if answer is None:
+            return None
+        return StreamAnswer(answer.status, answer.headers, self._events(answer))
+
+    async def _failure(self, answer: WorkerAnswer, worker: WorkerState) -> WholeAnswer | None:
+        try:
+            body = b"".join([chunk async for chunk in answer.body])
+        except WorkerAnswerBrokenError as error:
+            self._choice.note_failure(self._request, worker, self._course, f"broken: {error}")
+            return None
+        finally:
+            await self._opened.aclose()
+        return WholeAnswer(answer.status, answer.headers, body)
+
+    async def _send(self, worker: WorkerState, request: LiveRequest) -> WorkerAnswer | None:
+        """Send to one worker; None when it has not run or its answer was lost."""
+        worker.num_in_flight += 1
+        self._opened.callback(self._note_closed, worker)
+        is_open = False
+        try:
+            sending = self._port.send(worker.entry, to_worker(request, self._ends_at))
+            answer = await self._opened.enter_async_context(sending)
+            is_open = not self._choice.take_refusal(answer, worker, self._course)
+            return answer if is_open else None
+        except WorkerUnreachableError as error:
+            self._choice.note_failure(request, worker, self._course, f"unreachable: {error}")
+        except WorkerAnswerBrokenError as error:
+            self._course.may_have_run = True
+            self._choice.note_failure(request, worker, self._course, f"broken: {error}")
+        except anyio.get_cancelled_exc_class():
+            self._course.may_have_run = True
+            self._course.last_reason = "deadline"
+            raise
+        finally:
+            if not is_open:
+                await self._opened.aclose()
+        return None
+
+    async def _events(self, answer: WorkerAnswer) -> AsyncIterator[bytes]:
+        last_id = self._request.resume_after
+        while True:
+            splitter = EventSplitter()
+            reason = "ended inside an event"
+            try:
+                async for chunk in answer.body:
+                    for event in splitter.feed(chunk):
+                        last_id = event.event_id or last_id
+                        yield event.block
+                if not splitter.has_rest:
+                    return
+            except WorkerAnswerBrokenError as error:
+                reason = str(error)
+            await self._opened.aclose()
+            logger.info(
+                "stream_broken", request_id=self._request.request_id, last_event_id=last_id, reason=reason
+            )
+            answer = await self._resume(last_id, reason)
+
+    async def _resume(self, last_id: str | None, reason: str) -> WorkerAnswer:
+        """Go on after the last whole event at another worker.
+
+        Raises:
+            WorkerAnswerBrokenError: the route does not allow it, or no worker takes it up.
+        """
+        request = replace(self._request, resume_after=last_id)
+        while self._may_resume():
+            worker = self._choice.choose(self._choice.choose_service(self._route), self._course)
+            if worker is None:
+                break
+            self._course.tried.append(worker.entry.worker_id)
+            answer = await self._send(worker, request)
+            if answer is not None and answer.status < FIRST_FAILURE_STATUS:
+                return answer
+            await self._opened.aclose()
+        raise WorkerAnswerBrokenError(f"not resumed: {reason}")
+
+    def _may_resume(self) -> bool:
+        return (
+            self._route.is_resumable
+            and len(self._course.tried) < self._route.max_attempts
+            and anyio.current_time() < self._ends_at
+        )
+
+    @staticmethod
+    def _note_closed(worker: WorkerState) -> None:
+        worker.num_in_flight -= 1
--- a/tests/unit/test_settings.py
+++ b/tests/unit/test_settings.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from worksramp.settings import SettingsError, load_settings
+from worksramp.settings import load_settings
+from worksramp.settings_error import SettingsError
 
 GOOD = """
 node_id = "n"
