A replica takes a reload in as a whole; one task alone appends for an owner; a new owner asks its workers

Cause: the new owner believed the workers' entries, which lag behind the orders of the owner before. It now asks every worker of the fleet once. Ruled out for the last: the guard between owners' orders (needed, and the workers held the version already).

--- a/src/worksramp/coordination/fenced_writer.py
+++ b/src/worksramp/coordination/fenced_writer.py
@@ -49,7 +49,8 @@
         self._queue: deque[KeyedRecord] = deque()
         self._renewal_seconds = renewal_seconds
         self._wanted = anyio.Event()
-        self._released = False
+        self._is_release_wanted = False
+        self._ended = anyio.Event()
         self._num_orders = claimed.num_orders
         self._announced_orders = claimed.num_orders
         self._appended = anyio.Event()
@@ -97,21 +98,26 @@
         Raises:
             OwnershipLostError: the store has refused the epoch.
         """
-        while not self._released:
-            with anyio.move_on_after(self._renewal_seconds):
-                await self._wanted.wait()
-                # A few more results may be about to come: one append for all of them.
-                await anyio.sleep(GATHER_SECONDS)
-            self._wanted = anyio.Event()
-            await self._append_batch(is_release=False)
+        try:
+            while not self._owner.is_released:
+                with anyio.move_on_after(self._renewal_seconds):
+                    await self._wanted.wait()
+                    # A few more results may be about to come: one append for all of them.
+                    await anyio.sleep(GATHER_SECONDS)
+                self._wanted = anyio.Event()
+                await self._append_batch(is_release=self._is_release_wanted)
+        finally:
+            self._ended.set()
 
     async def release(self) -> None:
-        """Append what is queued and give the lease back."""
-        self._released = True
-        await self._append_batch(is_release=True)
+        """Have what is queued appended and the lease given back; return when done or when the lease is lost."""
+        self._is_release_wanted = True
+        self._wanted.set()
+        await self._ended.wait()
 
     async def _append_batch(self, is_release: bool) -> None:
         batch = self._take_batch()
+        is_release = is_release and not self._queue
         now = anyio.current_time()
         # Other nodes watch the owner's record alone, so it must be written however much else is.
         is_due = now - self._renewal_written_at >= RENEWAL_SHARE * self._renewal_seconds
--- a/src/worksramp/coordination/keyed_replica.py
+++ b/src/worksramp/coordination/keyed_replica.py
@@ -168,15 +168,14 @@
         first_end = page.end
         if self.position is not None and first_end < self.position:
             raise LogUnavailableError("newest", self._partition.topic, "older than what was already seen")
-        seen: set[str] = set()
-        while True:
-            for record in page.records:
-                seen.add(record.key)
-                self._apply(record)
-            if page.next_after is None:
-                break
+        records = list(page.records)
+        while page.next_after is not None:
             page = await self._log.newest(self._partition, page.next_after)
-        self._drop_missing(seen, first_end)
+            records += page.records
+        # All at once and in the order of appends: nobody sees half of what belongs together.
+        for record in sorted(records, key=lambda record: record.offset):
+            self._apply(record)
+        self._drop_missing({record.key for record in records}, first_end)
         self.position = first_end
         self.confirmed_at = started
         self._wake()
--- a/src/worksramp/edge/shard.py
+++ b/src/worksramp/edge/shard.py
@@ -120,10 +120,8 @@
             return
         owner.stop_runs()
         with anyio.move_on_after(RELEASE_SECONDS):
-            while writer.num_waiting:
-                await anyio.sleep(CLAIM_TICK_SECONDS)
             await writer.release()
-            logger.info("lease_released", epoch=writer.owner.epoch)
+            logger.info("lease_released", epoch=writer.owner.epoch, is_in_log=writer.owner.is_released)
 
     def _take_change(self, change: Change) -> None:
         if change.key == OWNER_KEY and change.value is not None:
--- a/src/worksramp/weights/version_mover.py
+++ b/src/worksramp/weights/version_mover.py
@@ -86,11 +86,25 @@
     async def run(self) -> None:
         """Give orders until cancelled."""
         async with anyio.create_task_group() as group:
+            # Workers' entries lag behind the orders of the owner before.
+            for state in self._fleet():
+                group.start_soon(self._ask, state)
             while True:
                 if self.context.may_order():
                     self._order_what_is_due(group)
                 await anyio.sleep(TICK_SECONDS)
 
+    def _fleet(self) -> list[WorkerState]:
+        table = self.context.table()
+        services = [] if table is None else [name for name, spec in table.services.items() if spec.models]
+        return [state for service in services for state in self.context.directory.usable(service)]
+
+    async def _ask(self, state: WorkerState) -> None:
+        report = await self.context.port.report(state.entry)
+        if report is not None:
+            self._believe(state, report)
+            self.context.work.wake()
+
     def _order_what_is_due(self, group: anyio.abc.TaskGroup) -> None:
         work = self.context.work
         for move in decide_moves(self._needs(), len(work.loading), self.context.max_loading):
