--- a/src/worksramp/coordination/fenced_writer.py
+++ b/src/worksramp/coordination/fenced_writer.py
@@ -110,7 +110,7 @@
             self._ended.set()
 
     async def release(self) -> None:
-        """Have what is queued appended and the lease given back; return when done or when the lease is lost."""
+        """Have what is queued appended and the lease given back; return when done, or when it is lost."""
         self._is_release_wanted = True
         self._wanted.set()
         await self._ended.wait()
--- a/src/worksramp/coordination/log_lease.py
+++ b/src/worksramp/coordination/log_lease.py
@@ -58,6 +58,7 @@
 
     Attributes:
         owner: the newest owner's record, None when there is none.
+        is_own_machine: the record was written by an earlier process of this machine.
         owner_changed_at: when this node saw that record, on its own clock.
         replica_age: seconds since its copy was confirmed as current.
         may_own: whether this node wants the lease at all.
@@ -65,6 +66,7 @@
     """
 
     owner: OwnerRecord | None
+    is_own_machine: bool
     owner_changed_at: float
     replica_age: float
     may_own: bool
@@ -99,6 +101,9 @@
     if view.owner is None:
         waited = now - view.owner_changed_at
         return ClaimLease(1) if waited >= view.jitter else LeaveLease("jitter")
+    if view.is_own_machine:
+        # One process at a time runs on a machine: the one that wrote this has ended.
+        return ClaimLease(view.owner.epoch + 1)
     due = view.jitter if view.owner.is_released else times.expiry + view.jitter
     if now - view.owner_changed_at < due:
         return LeaveLease("owner_renews")
--- a/src/worksramp/edge/shard.py
+++ b/src/worksramp/edge/shard.py
@@ -139,8 +139,12 @@
         self.owner_changed_at = now
 
     def _view(self) -> LeaseView:
+        owner = self.owner_record
         return LeaseView(
-            owner=self.owner_record,
+            owner=owner,
+            is_own_machine=owner is not None
+            and owner.node == self.context.node
+            and owner.boot != self.context.boot,
             owner_changed_at=self.owner_changed_at,
             replica_age=self.replica.confirmed_age(),
             may_own=self.context.may_own() and not self._is_stopping,
--- a/src/worksramp/rollout/batch_owner.py
+++ b/src/worksramp/rollout/batch_owner.py
@@ -53,8 +53,15 @@
 STUCK_FACTOR = 10.0
 MIN_STUCK_SECONDS = 0.7
 FIRST_EVENT_SECONDS = 1.2
-MIN_SECONDS_BETWEEN_MOVES = 1.0
-MIN_EVENTS_LEFT_TO_MOVE = 3
+MIN_SECONDS_BETWEEN_MOVES = 0.6
+#: A move costs a new connection and the reading of the prompt and the text so far.
+MOVE_COST_SECONDS = 0.1
+MIN_MOVE_GAIN_SECONDS = 0.25
+#: Below this ratio the difference between two paces may be chance.
+MIN_MOVE_PACE_RATIO = 1.2
+#: Lengths have a long tail: what has run for long is expected to go on for this share of it.
+EXPECTED_TAIL_SHARE = 0.4
+MAX_MOVES_A_TICK = 2
 FAILURE_PAUSE_SECONDS = 0.1
 
 logger = structlog.get_logger()
@@ -309,8 +316,7 @@
             now = anyio.current_time()
             if run.num_events and run.worker_id not in self.loading:
                 self.pace.observe(run.worker_id, now - run.last_event_at, now)
-            run.num_events += 1
-            run.last_event_at = now
+            run.note_event(now)
 
         num_before = len(work.text.pieces)
         if state is not None:
@@ -326,6 +332,7 @@
     def _take_outcome(self, work: ItemWork, run: Run, outcome: RunOutcome, num_new: int) -> None:
         now = anyio.current_time()
         if isinstance(outcome, RunFinished):
+            self._log_finished(work, run, now)
             self._list(work, is_completed=True)
             return
         log = logger.debug if isinstance(outcome, RunNotBegun) else logger.info
@@ -357,6 +364,22 @@
         elif not run.is_moving:
             work.avoid(run.worker_id, now + AVOID_AFTER_BREAK_SECONDS)
 
+    def _log_finished(self, work: ItemWork, run: Run, now: float) -> None:
+        logger.info(
+            "item_finished",
+            item_id=work.item.item_id,
+            batch_id=work.key[0],
+            worker=run.worker_id,
+            num_events=len(work.text.pieces),
+            num_expected_tokens=work.item.num_expected_tokens,
+            batch_age_seconds=round(self._context.time_of_day() - work.submitted_at, 3),
+            run_seconds=round(now - run.started_at, 3),
+            first_event_seconds=round((run.first_event_at or now) - run.started_at, 3),
+            longest_gap_seconds=round(run.longest_gap, 3),
+            num_run_events=run.num_events,
+            versions=",".join(str(version) for version in work.text.versions),
+        )
+
     def _note_refusal(self, work: ItemWork, run: Run, outcome: RunNotBegun, now: float) -> None:
         if outcome.is_gone:
             self._context.directory.mark_leaving(run.worker_id)
@@ -409,16 +432,17 @@
     def _watch_runs(self) -> None:
         now = anyio.current_time()
         typical = self.pace.typical_seconds(now)
+        # Where items wait for a place, a move would only change who waits.
+        num_moves = MAX_MOVES_A_TICK if any(work.run is None for work in self._works.values()) else 0
         for work in list(self._works.values()):
             run = work.run
             if run is None or run.is_moving or run.worker_id in self.loading:
                 continue
-            if not self._context.directory.get(run.worker_id):
-                continue
             if self._is_stuck(run, typical, now):
                 self._move(work, run, "stuck", now)
-            elif self.pace.is_slow(run.worker_id, now) and self._is_worth_moving(work, run, now):
-                self._move(work, run, "slow", now)
+            elif num_moves < MAX_MOVES_A_TICK and self._gain_of_move(work, run, now) > MIN_MOVE_GAIN_SECONDS:
+                num_moves += 1
+                self._move(work, run, "faster_elsewhere", now)
 
     def _is_stuck(self, run: Run, typical: float | None, now: float) -> bool:
         silent = now - run.last_event_at
@@ -426,17 +450,31 @@
             return silent > FIRST_EVENT_SECONDS
         return silent > max(MIN_STUCK_SECONDS, STUCK_FACTOR * (typical or 0.0))
 
-    def _is_worth_moving(self, work: ItemWork, run: Run, now: float) -> bool:
-        if now - run.started_at < MIN_SECONDS_BETWEEN_MOVES:
-            return False
-        return self._has_room_elsewhere(work, run.worker_id, now)
-
-    def _has_room_elsewhere(self, work: ItemWork, worker_id: str, now: float) -> bool:
-        item = self._waiting_items([work], now)
-        if not item:
-            return False
-        others = [place for place in self._places(now) if place.worker_id != worker_id and not place.is_slow]
-        return bool(assign(item, others))
+    def _gain_of_move(self, work: ItemWork, run: Run, now: float) -> float:
+        """Return the seconds by which an item is expected to end sooner at the best other worker."""
+        pace = self.pace.seconds_per_event(run.worker_id, now)
+        if pace is None or now - run.started_at < MIN_SECONDS_BETWEEN_MOVES:
+            return 0.0
+        other = self._best_other_pace(work, run, now)
+        if other is None or pace < MIN_MOVE_PACE_RATIO * other:
+            return 0.0
+        return self._num_events_left(work) * (pace - other) - MOVE_COST_SECONDS
+
+    def _num_events_left(self, work: ItemWork) -> float:
+        table = self._context.table.current
+        spec = None if table is None else table.services.get(work.route.parts[0].service)
+        tokens_per_event = spec.tokens_per_event if spec else 1
+        estimated = work.num_expected_tokens(tokens_per_event) / tokens_per_event
+        return max(estimated, EXPECTED_TAIL_SHARE * len(work.text.pieces))
+
+    def _best_other_pace(self, work: ItemWork, run: Run, now: float) -> float | None:
+        """Return the pace of the worker with a free slot that an item would move to, None without one."""
+        items = self._waiting_items([work], now)
+        places = [place for place in self._places(now) if place.worker_id != run.worker_id]
+        assignments = assign(items, places)
+        if not assignments:
+            return None
+        return self.pace.seconds_per_event(assignments[0].worker_id, now)
 
     def _move(self, work: ItemWork, run: Run, reason: str, now: float) -> None:
         run.is_moving = True
--- a/src/worksramp/rollout/batch_schedule.py
+++ b/src/worksramp/rollout/batch_schedule.py
@@ -1,7 +1,10 @@
 """Which waiting item of a batch goes to which worker: a pure decision from one view."""
 
+import math
 from dataclasses import dataclass
 
+#: Workers whose paces differ by less than this ratio count as equally fast.
+PACE_TIER_RATIO = 1.15
 #: A batch that has waited this long goes before longer items of younger ones.
 OLD_BATCH_SECONDS = 2.5
 
@@ -70,14 +73,16 @@
 
 
 def assign(waiting: list[WaitingItem], places: list[Place]) -> list[Assignment]:
-    """Give waiting items to free slots, the longest first, each to the least loaded worker that may run it.
+    """Give waiting items to free slots, the longest first, each to the fastest worker that may run it.
 
-    The longest first, since a step ends with its last item; old batches before young ones.
+    The longest first, since a step ends with its last item; old batches before young ones. Among workers
+    about as fast, the least loaded.
     """
+    fastest = min((place.seconds_per_event for place in places if place.seconds_per_event), default=None)
     rooms = [_Room(place, place.num_running, place.num_expected_tokens) for place in places]
     assignments: list[Assignment] = []
     for item in sorted(waiting, key=_rank):
-        room = _choose_room(item, rooms)
+        room = _choose_room(item, rooms, fastest)
         if room is None:
             continue
         room.num_running += 1
@@ -102,7 +107,7 @@
     return (item.batch_age_seconds < OLD_BATCH_SECONDS, -item.num_expected_tokens, item.key)
 
 
-def _choose_room(item: WaitingItem, rooms: list[_Room]) -> _Room | None:
+def _choose_room(item: WaitingItem, rooms: list[_Room], fastest: float | None) -> _Room | None:
     candidates = [
         room for room in rooms if room.num_running < room.place.num_slots and may_run(item, room.place)
     ]
@@ -112,8 +117,19 @@
         candidates,
         key=lambda room: (
             room.place.is_slow,
+            pace_tier(room.place.seconds_per_event, fastest),
             room.num_running / room.place.num_slots,
-            room.num_expected_tokens * (room.place.seconds_per_event or 0.0),
+            room.num_expected_tokens,
             room.place.worker_id,
         ),
     )
+
+
+def pace_tier(seconds_per_event: float | None, fastest: float | None) -> int:
+    """Return 0 for a worker about as fast as the fastest, and more the slower it is.
+
+    A pace that is not known yet is taken for a fast one, so that it becomes known.
+    """
+    if not seconds_per_event or not fastest:
+        return 0
+    return int(math.log(max(1.0, seconds_per_event / fastest), PACE_TIER_RATIO))
--- a/src/worksramp/rollout/item_work.py
+++ b/src/worksramp/rollout/item_work.py
@@ -20,6 +20,7 @@
     Attributes:
         last_event_at: when its last event came, or when it was sent.
         num_events: events it has made.
+        longest_gap: longest time between two of its events.
     """
 
     worker_id: str
@@ -27,8 +28,19 @@
     started_at: float
     last_event_at: float
     num_events: int = 0
+    first_event_at: float | None = None
+    longest_gap: float = 0.0
     is_moving: bool = False
 
+    def note_event(self, now: float) -> None:
+        """Take in that an event has come."""
+        if self.first_event_at is None:
+            self.first_event_at = now
+        else:
+            self.longest_gap = max(self.longest_gap, now - self.last_event_at)
+        self.num_events += 1
+        self.last_event_at = now
+
 
 @dataclass(slots=True)
 class ItemWork:
