The owner of batches split by job; failures count in their own batch; old batches are forgotten

Two scenarios failed first (1 run instead of 3 in the second batch; 42 keys of the first batch left) and pass now.

--- a/src/worksramp/edge/node.py
+++ b/src/worksramp/edge/node.py
@@ -22,8 +22,8 @@
 )
 from worksramp.edge.settings import EdgeBounds, EdgeSettings
 from worksramp.edge.shard import BatchShard, ShardContext
-from worksramp.rollout.batch_owner import TableSource
 from worksramp.rollout.batch_service import BatchService, ServiceTimes
+from worksramp.rollout.owner_context import TableSource
 from worksramp.routing.forward import Forwarder
 from worksramp.routing.table import RouteTable
 from worksramp.routing.worker_port import WorkerPort
@@ -91,6 +91,7 @@
                 table=self.table,
                 named_versions=self.named_versions,
                 max_loading=settings.max_loading,
+                status_seconds=bounds.status,
                 may_own=lambda: self.is_ready,
                 time_of_day=self.time_of_day,
             )
--- a/src/worksramp/edge/shard.py
+++ b/src/worksramp/edge/shard.py
@@ -26,8 +26,9 @@
     Partition,
     SharedLog,
 )
-from worksramp.rollout.batch_owner import BatchOwner, OwnerContext, TableSource
+from worksramp.rollout.batch_owner import BatchOwner
 from worksramp.rollout.batches import BatchLedger
+from worksramp.rollout.owner_context import OwnerContext, TableSource
 from worksramp.routing.worker_port import WorkerPort
 from worksramp.routing.workers import WorkerDirectory
 from worksramp.weights.version_mover import MoverContext, VersionMover
@@ -64,6 +65,7 @@
     table: TableSource
     named_versions: dict[str, int]
     max_loading: int
+    status_seconds: float
     may_own: Callable[[], bool]
     time_of_day: Callable[[], float] = time.time
 
@@ -201,6 +203,7 @@
                 writer,
                 context.table,
                 context.log.limits.max_record_bytes,
+                context.status_seconds,
                 context.time_of_day,
             )
         )
@@ -245,7 +248,8 @@
         return MoverContext(
             directory=context.directory,
             port=context.port,
-            work=owner,
+            work=owner.items,
+            wake=owner.wake,
             named_versions=context.named_versions,
             table=lambda: context.table.current,
             may_order=is_order_allowed,
--- a/src/worksramp/rollout/batch_run.py
+++ b/src/worksramp/rollout/batch_run.py
@@ -38,10 +38,15 @@
             list(text.pieces), text.last_event_id, list(text.versions), text.num_failures, text.is_whole
         )
 
-    def freeze(self) -> GeneratedText:
-        """Return the text so far."""
+    def freeze(self, batch_id: str) -> GeneratedText:
+        """Return the text so far, its failures counted in ``batch_id``."""
         return GeneratedText(
-            tuple(self.pieces), self.last_event_id, tuple(self.versions), self.num_failures, self.is_whole
+            tuple(self.pieces),
+            self.last_event_id,
+            tuple(self.versions),
+            self.num_failures,
+            self.is_whole,
+            batch_id,
         )
 
     def clear(self) -> None:
--- a/src/worksramp/rollout/batches.py
+++ b/src/worksramp/rollout/batches.py
@@ -64,8 +64,9 @@
         pieces: data of each event, in order.
         last_event_id: id of the last whole event, None when there is none.
         versions: weights that made at least one event, in order of appearance.
-        num_failures: runs that the workers ended with an error of their own.
+        num_failures: runs that the workers ended with an error of their own, in ``batch_id``.
         is_whole: nothing follows.
+        batch_id: batch that the failures were counted in.
     """
 
     pieces: tuple[str, ...] = ()
@@ -73,6 +74,7 @@
     versions: tuple[int, ...] = ()
     num_failures: int = 0
     is_whole: bool = False
+    batch_id: str = ""
 
 
 class BatchResult(msgspec.Struct, frozen=True, array_like=True):
@@ -201,7 +203,7 @@
 
     def _apply_header(self, batch_id: str, value: bytes | None) -> None:
         if value is None:
-            self.batches.pop(batch_id, None)
+            self._forget(batch_id)
             return
         if batch_id in self.batches:
             return
@@ -210,6 +212,12 @@
         for place, early in self._early_results.pop(batch_id, {}).items():
             self._apply_result(batch_id, place, early)
 
+    def _forget(self, batch_id: str) -> None:
+        batch = self.batches.pop(batch_id, None)
+        for item_id in () if batch is None else batch.header.item_ids:
+            if self._completed.get(item_id, ("", 0))[0] == batch_id:
+                del self._completed[item_id]
+
     def _apply_item(self, batch_id: str, index: int, value: bytes | None) -> None:
         if value is None:
             self._items.get(batch_id, {}).pop(index, None)
@@ -253,6 +261,17 @@
     return records
 
 
+def records_forgetting_batch(batch: Batch) -> list[KeyedRecord]:
+    """Return the records that drop a batch, its header first: no reader finds it without its items."""
+    batch_id = batch.header.batch_id
+    keys = [f"b/{batch_id}"]
+    keys += [f"i/{batch_id}/{index}" for index in range(len(batch.header.item_ids))]
+    keys += [f"r/{batch_id}/{position}" for position in batch.result_values]
+    keys += [f"t/{batch_id}/{position}/{part}" for position, part in batch.text_parts]
+    keys.append(f"e/{batch_id}")
+    return [KeyedRecord(key, b"") for key in keys]
+
+
 def record_of_end(batch_id: str) -> KeyedRecord:
     """Return the record that ends a batch."""
     return KeyedRecord(f"e/{batch_id}", b"1")
--- a/src/worksramp/rollout/item_work.py
+++ b/src/worksramp/rollout/item_work.py
@@ -5,7 +5,7 @@
 import anyio
 
 from worksramp.rollout.batch_run import TextBuilder
-from worksramp.rollout.batches import Batch, BatchItem, BatchLedger
+from worksramp.rollout.batches import Batch, BatchItem, GeneratedText
 from worksramp.routing.table import Route
 
 ItemKey = tuple[str, int]
@@ -79,12 +79,13 @@
         return max(estimate - len(self.text.pieces) * tokens_per_event, tokens_per_event)
 
 
-def text_to_start_from(ledger: BatchLedger, item_id: str, batch: Batch, route: Route) -> TextBuilder:
+def text_to_start_from(kept: GeneratedText | None, batch: Batch, route: Route) -> TextBuilder:
     """Return the kept text of an item if this batch may use it, else an empty one."""
-    kept = ledger.kept_text(item_id) or ledger.completed_text(item_id)
     if kept is None:
         return TextBuilder()
     text = TextBuilder.from_text(kept)
+    if kept.batch_id != batch.header.batch_id:
+        text.num_failures = 0
     is_too_old = any(version < batch.header.min_version for version in text.versions)
     if is_too_old or (route.needs_one_version and len(text.versions) > 1):
         text.clear()
--- /dev/null
+++ b/src/worksramp/rollout/owner_context.py
@@ -0,0 +1,38 @@
+"""What the parts of an owner of a shard share."""
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from worksramp.coordination.fenced_writer import FencedWriter
+from worksramp.rollout.batches import BatchLedger
+from worksramp.routing.table import RouteTable
+from worksramp.routing.worker_port import WorkerPort
+from worksramp.routing.workers import WorkerDirectory
+
+
+class TableSource:
+    """Where the configuration in force is found."""
+
+    def __init__(self) -> None:
+        self.current: RouteTable | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class OwnerContext:
+    """What an owner works with.
+
+    Attributes:
+        table: where the configuration in force is found.
+        status_seconds: age until which the results of an ended batch are kept.
+        time_of_day: seconds, as batches are stamped.
+    """
+
+    ledger: BatchLedger
+    directory: WorkerDirectory
+    port: WorkerPort
+    writer: FencedWriter
+    table: TableSource
+    max_record_bytes: int
+    status_seconds: float
+    time_of_day: Callable[[], float] = time.time
--- /dev/null
+++ b/src/worksramp/rollout/run_watch.py
@@ -0,0 +1,93 @@
+"""Watches runs for workers that are stuck, and for other workers that would end an item sooner."""
+
+import anyio
+import structlog
+
+from worksramp.rollout.batch_schedule import assign
+from worksramp.rollout.item_work import ItemWork, Run
+from worksramp.rollout.open_items import OpenItems
+from worksramp.rollout.pace import PaceTracker
+
+STUCK_FACTOR = 10.0
+MIN_STUCK_SECONDS = 0.7
+FIRST_EVENT_SECONDS = 1.2
+MIN_SECONDS_BETWEEN_MOVES = 0.6
+#: A move costs a new connection and the reading of the prompt and the text so far.
+MOVE_COST_SECONDS = 0.1
+MIN_MOVE_GAIN_SECONDS = 0.25
+#: Below this ratio the difference between two paces may be chance.
+MIN_MOVE_PACE_RATIO = 1.2
+#: Lengths have a long tail: what has run for long is expected to go on for this share of it.
+EXPECTED_TAIL_SHARE = 0.4
+MAX_MOVES_A_TICK = 2
+
+logger = structlog.get_logger()
+
+
+class RunWatch:
+    """Closes runs whose items get on sooner elsewhere; they wait for a place again with their text."""
+
+    def __init__(self, items: OpenItems, pace: PaceTracker) -> None:
+        self._items = items
+        self._pace = pace
+
+    def look(self) -> None:
+        """Look at all runs once."""
+        now = anyio.current_time()
+        typical = self._pace.typical_seconds(now)
+        # Where items wait for a place, a move would only change who waits.
+        num_moves = MAX_MOVES_A_TICK if any(work.run is None for work in self._items.works.values()) else 0
+        for work in list(self._items.works.values()):
+            run = work.run
+            if run is None or run.is_moving or run.worker_id in self._items.loading:
+                continue
+            if self._is_stuck(run, typical, now):
+                self._move(work, run, "stuck", now)
+            elif num_moves < MAX_MOVES_A_TICK and self._gain_of_move(work, run, now) > MIN_MOVE_GAIN_SECONDS:
+                num_moves += 1
+                self._move(work, run, "faster_elsewhere", now)
+
+    def _is_stuck(self, run: Run, typical: float | None, now: float) -> bool:
+        silent = now - run.last_event_at
+        if run.num_events == 0:
+            return silent > FIRST_EVENT_SECONDS
+        return silent > max(MIN_STUCK_SECONDS, STUCK_FACTOR * (typical or 0.0))
+
+    def _gain_of_move(self, work: ItemWork, run: Run, now: float) -> float:
+        """Return the seconds by which an item is expected to end sooner at the best other worker."""
+        pace = self._pace.seconds_per_event(run.worker_id, now)
+        if pace is None or now - run.started_at < MIN_SECONDS_BETWEEN_MOVES:
+            return 0.0
+        other = self._best_other_pace(work, run, now)
+        if other is None or pace < MIN_MOVE_PACE_RATIO * other:
+            return 0.0
+        return self._num_events_left(work) * (pace - other) - MOVE_COST_SECONDS
+
+    def _num_events_left(self, work: ItemWork) -> float:
+        tokens_per_event = self._items.tokens_per_event(work)
+        estimated = work.num_expected_tokens(tokens_per_event) / tokens_per_event
+        return max(estimated, EXPECTED_TAIL_SHARE * len(work.text.pieces))
+
+    def _best_other_pace(self, work: ItemWork, run: Run, now: float) -> float | None:
+        """Return the pace of the worker with a free slot that an item would move to, None without one."""
+        items = self._items.waiting_items([work], now)
+        places = [place for place in self._items.places(now) if place.worker_id != run.worker_id]
+        assignments = assign(items, places)
+        if not assignments:
+            return None
+        return self._pace.seconds_per_event(assignments[0].worker_id, now)
+
+    def _move(self, work: ItemWork, run: Run, reason: str, now: float) -> None:
+        run.is_moving = True
+        work.avoid(run.worker_id, now + 2 * MIN_SECONDS_BETWEEN_MOVES)
+        logger.info(
+            "item_moved",
+            item_id=work.item.item_id,
+            batch_id=work.key[0],
+            worker=run.worker_id,
+            reason=reason,
+            num_events=len(work.text.pieces),
+            silent_seconds=round(now - run.last_event_at, 3),
+            seconds_per_event=self._pace.seconds_per_event(run.worker_id, now),
+        )
+        run.scope.cancel()
--- a/src/worksramp/weights/version_mover.py
+++ b/src/worksramp/weights/version_mover.py
@@ -48,9 +48,6 @@
     def has_one_version_work(self, model: str) -> bool:
         """Return whether any open item needs one version for all its text."""
 
-    def wake(self) -> None:
-        """Look again at once."""
-
 
 @dataclass(frozen=True, slots=True)
 class MoverContext:
@@ -58,6 +55,7 @@
 
     Attributes:
         named_versions: newest version of each model, kept up to date by the node.
+        wake: has the fleet's work looked at again at once.
         may_order: whether the lease allows an order at this moment.
         announce_order: returns once the log says that an order is about to be given.
         holder: name of this machine.
@@ -67,6 +65,7 @@
     directory: WorkerDirectory
     port: WorkerPort
     work: FleetWork
+    wake: Callable[[], None]
     named_versions: dict[str, int]
     table: Callable[[], RouteTable | None]
     may_order: Callable[[], bool]
@@ -103,7 +102,7 @@
         report = await self.context.port.report(state.entry)
         if report is not None:
             self._believe(state, report)
-            self.context.work.wake()
+            self.context.wake()
 
     def _order_what_is_due(self, group: anyio.abc.TaskGroup) -> None:
         work = self.context.work
@@ -152,7 +151,7 @@
                 self._pause_until[worker_id] = anyio.current_time() + PAUSE_AFTER_FAILURE_SECONDS
         finally:
             self.context.work.loading.pop(worker_id, None)
-            self.context.work.wake()
+            self.context.wake()
 
     async def _load(self, state: WorkerState, move: Move) -> bool:
         """Order one load and wait until the worker reports its end; return whether it holds the version."""
--- a/src/worksramp_emulator/shared_log.py
+++ b/src/worksramp_emulator/shared_log.py
@@ -94,6 +94,10 @@
         record = self.state(partition).newest.get(key)
         return None if record is None else record.value
 
+    def newest_keys(self, partition: Partition) -> list[str]:
+        """Return the keys that have a value, for checkers."""
+        return sorted(self.state(partition).newest)
+
     def all_records(self, partition: Partition) -> list[StoredRecord]:
         """Return all records ever appended, for checkers."""
         return list(self.state(partition).records)
--- a/src/worksramp_emulator/simulation/batch_world.py
+++ b/src/worksramp_emulator/simulation/batch_world.py
@@ -17,7 +17,7 @@
     WorkerGone,
     WorkerSeen,
 )
-from worksramp.edge.settings import EdgeSettings, StoreSettings
+from worksramp.edge.settings import EdgeBounds, EdgeSettings, StoreSettings
 from worksramp.rollout.batch_service import Accepted, ResultPage
 from worksramp.rollout.batches import BatchHeader, BatchItem, BatchResult
 from worksramp.routing.table import Route, RouteKind, RouteTable, ServiceSpec, SplitPart
@@ -68,6 +68,7 @@
     group_size: int = 4
     share_wanted: float = 0.8
     needs_one_version: bool = False
+    status_seconds: float = 120.0
 
 
 @dataclass(slots=True)
@@ -92,6 +93,7 @@
     step: int
     min_version: int
     item_ids: tuple[str, ...]
+    submitted_at: float
     results: dict[int, BatchResult] = field(default_factory=dict)
     seconds: float | None = None
 
@@ -173,7 +175,13 @@
         """Start a process on a machine, unless one runs there."""
         if slot.node is not None:
             return
-        settings = EdgeSettings(slot.name, "zone", "127.0.0.1:1", StoreSettings("127.0.0.1:2"))
+        settings = EdgeSettings(
+            slot.name,
+            "zone",
+            "127.0.0.1:1",
+            StoreSettings("127.0.0.1:2"),
+            bounds=EdgeBounds(status=self.spec.status_seconds),
+        )
         slot.node = EdgeNode(
             settings,
             LogClient(self.store, slot.name),
@@ -234,7 +242,7 @@
         """Submit a step, read it until enough groups are whole, and end it."""
         fresh = [f"s{step}g{group}i{number}" for group in range(self.spec.num_groups) for number in range(4)]
         item_ids = tuple(carried + fresh[: self.spec.num_groups * self.spec.group_size - len(carried)])
-        record = StepRecord(f"batch{step}", step, max(1, step - 1), item_ids)
+        record = StepRecord(f"batch{step}", step, max(1, step - 1), item_ids, anyio.current_time())
         self.steps.append(record)
         started = anyio.current_time()
         await self._submit(record)
--- a/tests/features/batches.feature
+++ b/tests/features/batches.feature
@@ -67,3 +67,15 @@
     And item s0g1i1 can never be done
     When a trainer asks for a step and waits 5 seconds for all of it
     Then item s0g1i1 is given up after 1 run
+
+  Scenario: failures of an earlier batch do not count in the batch that an item comes back in
+    Given a deployment
+    And item s0g1i1 fails at each run
+    When a trainer asks for a step, gives up after 0.12 seconds and asks again
+    Then item s0g1i1 failed in both batches and was run 3 times in the second
+
+  Scenario: an old batch that has ended is forgotten
+    Given a deployment that keeps results for 20 seconds
+    When a trainer asks for 2 steps and 60 seconds pass
+    Then the store holds nothing of the first batch
+    And nothing is violated
--- a/tests/steps/test_batches.py
+++ b/tests/steps/test_batches.py
@@ -12,7 +12,7 @@
 from worksramp.logs import configure_logs
 from worksramp_emulator.shared_log import LogFaults
 from worksramp_emulator.simulation.batch_checkers import check_all
-from worksramp_emulator.simulation.batch_world import BatchWorld, BatchWorldSpec
+from worksramp_emulator.simulation.batch_world import TRAIN_SECONDS, BatchWorld, BatchWorldSpec
 from worksramp_emulator.simulation.clock import run_simulated
 
 scenarios("batches.feature")
@@ -188,6 +188,11 @@
     return Plan(BatchWorldSpec(needs_one_version=True))
 
 
+@given(parsers.parse("a deployment that keeps results for {seconds:d} seconds"), target_fixture="plan")
+def forgetful_deployment(seconds: int) -> Plan:
+    return Plan(BatchWorldSpec(status_seconds=seconds))
+
+
 @given(parsers.re(r"(?P<text>.+) at (?P<at>\d+) seconds"))
 def trouble_at(plan: Plan, text: str, at: str) -> None:
     plan.troubles.append((float(at), trouble_called(text)))
@@ -225,6 +230,48 @@
     plan.world = plan.run(work)
 
 
+@when(parsers.parse("a trainer asks for a step, gives up after {seconds:f} seconds and asks again"))
+def ask_twice(plan: Plan, seconds: float) -> None:
+    plan.spec = replace(plan.spec, share_wanted=1.1)
+
+    async def work(world: BatchWorld) -> None:
+        first = await world.run_step(0, [], seconds)
+        await anyio.sleep(TRAIN_SECONDS)
+        await world.run_step(1, list(first.item_ids), 5.0)
+
+    plan.world = plan.run(work)
+
+
+@when(parsers.parse("a trainer asks for {count:d} steps and {seconds:d} seconds pass"))
+def ask_and_wait(plan: Plan, count: int, seconds: int) -> None:
+    async def work(world: BatchWorld) -> None:
+        await world.train(count)
+        await anyio.sleep(seconds)
+
+    plan.world = plan.run(work)
+
+
+@then(parsers.parse("item {item} failed in both batches and was run {count:d} times in the second"))
+def failed_again(plan: Plan, item: str, count: int) -> None:
+    world = plan.played
+    ended = [r.offset for r in world.store.all_records(world.records.batches) if r.key == "e/batch0"]
+    assert ended
+    results = {result.item_id: result for result in world.steps[1].results.values()}
+    assert not results[item].is_completed
+    begun = world.steps[1].submitted_at
+    runs = [run for run in world.fleet.runs if run[3] == item]
+    assert [run for run in runs if run[0] < begun]
+    assert len([run for run in runs if run[0] >= begun]) == count
+
+
+@then("the store holds nothing of the first batch")
+def nothing_left(plan: Plan) -> None:
+    world = plan.played
+    keys = world.store.newest_keys(world.records.batches)
+    assert [key for key in keys if "batch0" in key or "s0g" in key] == []
+    assert [key for key in keys if key == "owner"]
+
+
 @then(parsers.parse("every step has its groups within {limit:d} seconds"))
 def steps_in_time(plan: Plan, limit: int) -> None:
     times = [step.seconds for step in plan.played.steps]
