--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,113 @@
+"""The adapter's store speaks the platform's protocol, and names each outcome as the product does."""
+
+import random
+from collections.abc import Awaitable, Callable
+
+import anyio
+import httpx
+import pytest
+from worksramp_platform.store import StoreLog
+
+from tests.platform.standin import StoreApp
+from worksramp.coordination.shared_log import (
+    Appended,
+    AppendOutcome,
+    ConditionFailed,
+    Fence,
+    FencedOff,
+    KeyedRecord,
+    LogLimits,
+    LogUnavailableError,
+    NothingDone,
+    OutcomeOpen,
+    OutOfSequence,
+    Partition,
+    RecordsGone,
+    RecordsRead,
+)
+from worksramp_emulator.shared_log import LogStore
+
+PARTITION = Partition("keyed.things", 0)
+RECORDS = (KeyedRecord("a", b"1"), KeyedRecord("b/ü", b"\x00\xff"), KeyedRecord("a", b"3"))
+
+
+def with_store(work: Callable[[StoreLog, StoreApp], Awaitable[None]]) -> None:
+    async def main() -> None:
+        async with anyio.create_task_group() as group:
+            app = StoreApp(LogStore(random.Random(1), group))
+            transport = httpx.ASGITransport(app=app)
+            await work(StoreLog("store:1", LogLimits(), transport), app)
+
+    anyio.run(main)
+
+
+def test_records_come_back_as_they_were_appended() -> None:
+    async def work(log: StoreLog, app: StoreApp) -> None:
+        assert await log.append(PARTITION, RECORDS) == Appended(0, 3)
+        answer = await log.read(PARTITION, 1, 0.0)
+        assert isinstance(answer, RecordsRead)
+        assert [(r.offset, r.key, r.value) for r in answer.records] == [
+            (1, "b/ü", b"\x00\xff"),
+            (2, "a", b"3"),
+        ]
+        assert answer.end == 3
+
+    with_store(work)
+
+
+def test_newest_values_come_in_pages() -> None:
+    async def work(log: StoreLog, app: StoreApp) -> None:
+        await log.append(PARTITION, (*RECORDS, KeyedRecord("c", b"4"), KeyedRecord("b/ü", b"")))
+        app.page_size = 1
+        page = await log.newest(PARTITION, None)
+        assert ([(r.key, r.value, r.offset) for r in page.records], page.end) == ([("a", b"3", 2)], 5)
+        page = await log.newest(PARTITION, page.next_after)
+        assert [(r.key, r.value) for r in page.records] == [("c", b"4")]
+        assert page.next_after is None
+
+    with_store(work)
+
+
+def test_a_place_that_is_no_longer_kept_is_named() -> None:
+    async def work(log: StoreLog, app: StoreApp) -> None:
+        await log.append(PARTITION, RECORDS)
+        app.store.forget_records(PARTITION)
+        assert await log.read(PARTITION, 1, 0.0) == RecordsGone(3)
+
+    with_store(work)
+
+
+def test_conditions_and_fences() -> None:
+    async def work(log: StoreLog, app: StoreApp) -> None:
+        record = (KeyedRecord("a", b"1"),)
+        assert await log.append(PARTITION, record, expected_end=4) == ConditionFailed(0)
+        assert await log.append(PARTITION, record, Fence("owner", 2, 0)) == Appended(0, 1)
+        assert await log.append(PARTITION, record, Fence("owner", 2, 0)) == Appended(0, 1)
+        assert await log.append(PARTITION, record, Fence("owner", 2, 5)) == OutOfSequence(1)
+        assert await log.append(PARTITION, record, Fence("owner", 1, 9)) == FencedOff()
+
+    with_store(work)
+
+
+@pytest.mark.parametrize("status", [429, 503, 507, 403])
+def test_a_refusal_says_that_nothing_was_done(status: int) -> None:
+    outcomes: list[AppendOutcome] = []
+
+    async def work(log: StoreLog, app: StoreApp) -> None:
+        app.refuse_with = status
+        outcomes.append(await log.append(PARTITION, RECORDS))
+        with pytest.raises(LogUnavailableError):
+            await log.read(PARTITION, 0, 0.0)
+        with pytest.raises(LogUnavailableError):
+            await log.newest(PARTITION, None)
+
+    with_store(work)
+    assert isinstance(outcomes[0], NothingDone)
+
+
+def test_any_other_status_leaves_the_outcome_open() -> None:
+    async def work(log: StoreLog, app: StoreApp) -> None:
+        app.refuse_with = 500
+        assert isinstance(await log.append(PARTITION, RECORDS), OutcomeOpen)
+
+    with_store(work)
