--- a/src/worksramp/edge/asgi.py
+++ b/src/worksramp/edge/asgi.py
@@ -1,5 +1,6 @@
 """Small helpers over the ASGI messages of one HTTP request."""
 
+import math
 from collections.abc import AsyncIterator, Awaitable, Callable, MutableMapping
 from dataclasses import dataclass
 from typing import Any
@@ -25,6 +26,10 @@
     """The body is larger than the limit."""
 
 
+class BodyTooSlowError(Exception):
+    """The next part of the body did not come in time."""
+
+
 @dataclass(frozen=True, slots=True)
 class Answer:
     """A whole answer."""
@@ -39,17 +44,25 @@
     return Answer(status, [(CONTENT_TYPE, JSON_TYPE), *(headers or [])], msgspec.json.encode(value))
 
 
-async def read_body(receive: Receive, max_bytes: int) -> bytes:
+async def read_body(receive: Receive, max_bytes: int, part_seconds: float = math.inf) -> bytes:
     """Return the whole body of a request.
 
+    Args:
+        part_seconds: longest pause between two parts of it.
+
     Raises:
         CallerGoneError: the caller left before its end.
         BodyTooLargeError: it is longer than ``max_bytes``.
+        BodyTooSlowError: a part did not come in time.
     """
     chunks: list[bytes] = []
     num_bytes = 0
     while True:
-        message = await receive()
+        try:
+            with anyio.fail_after(part_seconds):
+                message = await receive()
+        except TimeoutError as error:
+            raise BodyTooSlowError from error
         if message["type"] == "http.disconnect":
             raise CallerGoneError
         chunk = message.get("body", b"")
--- /dev/null
+++ b/tests/platform/test_callers.py
@@ -0,0 +1,267 @@
+"""What callers get for good and bad input, from one node over the emulator's log and fleet."""
+
+import json
+import random
+from collections.abc import Awaitable, Callable
+from contextlib import asynccontextmanager
+from typing import Any
+
+import anyio
+import httpx
+import pytest
+from worksramp_platform.callers import CallersApi
+from worksramp_platform.documents import StoreRecords
+
+from worksramp.coordination.shared_log import KeyedRecord
+from worksramp.edge.asgi import Message, Receive, Scope, Send
+from worksramp.edge.node import EdgeNode
+from worksramp.edge.settings import EdgeSettings, StoreSettings
+from worksramp.logs import configure_logs
+from worksramp_emulator.batch_fleet import BatchFleet, FleetPort, FleetWorker, whole_text
+from worksramp_emulator.shared_log import LogClient, LogStore
+
+HOST = "shop.example"
+RECORDS = StoreRecords()
+CONFIGURATION = {
+    "version": 1,
+    "routes": [
+        {"name": "d", "host": HOST, "pathPrefix": "/drafts/", "type": "generation", "service": "fleet",
+         "maxAttempts": 3},
+        {"name": "c", "host": HOST, "pathPrefix": "/checks/", "type": "idempotent", "service": "desk",
+         "sloMs": 100, "maxAttempts": 2},
+    ],
+    "services": [{"name": "fleet", "engine": {"models": [{"name": "m"}]}}, {"name": "desk"}],
+    "limits": {"maxHeaderBytes": 2000, "maxBodyBytes": 3000, "headerTimeoutMs": 3000, "idleTimeoutMs": 200},
+}  # fmt: skip
+
+
+class Deployment:
+    """One node, its store and its fleet."""
+
+    def __init__(self, store: LogStore, fleet: BatchFleet) -> None:
+        self.store = store
+        self.fleet = fleet
+        port = FleetPort(fleet, "node", "m")
+        self.node = EdgeNode(
+            EdgeSettings("node", "z", "127.0.0.1:8001", StoreSettings("127.0.0.1:2"), "127.0.0.1:8002"),
+            LogClient(store, "node"),
+            port,
+            RECORDS,
+        )
+        self.api = CallersApi(self.node)
+
+    def client(self, port: int = 8001) -> httpx.AsyncClient:
+        transport = httpx.ASGITransport(app=self.api)
+        return httpx.AsyncClient(
+            transport=transport, base_url=f"http://127.0.0.1:{port}", headers={"host": HOST}
+        )
+
+    def configure(self) -> None:
+        record = KeyedRecord("config", json.dumps(CONFIGURATION).encode())
+        self.store.do_append(RECORDS.control, (record,), None, None)
+
+    def add_worker(self) -> None:
+        beat = {"service": "fleet", "address": "w:1", "slots": 8, "state": "ready",
+                "models": [{"name": "m", "version": 1}]}  # fmt: skip
+        self.store.do_append(RECORDS.workers, (KeyedRecord("w-1", json.dumps(beat).encode()),), None, None)
+        event = RECORDS.worker_event(_change("w-1", beat))
+        self.fleet.add(FleetWorker(event.entry, 0.005, {"m": 1}))  # type: ignore[union-attr]
+
+
+def _change(key: str, value: Any) -> Any:
+    from worksramp.coordination.keyed_replica import Change
+
+    return Change(key, json.dumps(value).encode(), 0)
+
+
+@asynccontextmanager
+async def deployment(is_configured: bool = True) -> Any:
+    configure_logs("error")
+    async with anyio.create_task_group() as group:
+        source = random.Random(1)
+        found = Deployment(LogStore(source, group), BatchFleet(source, group))
+        if is_configured:
+            found.configure()
+            found.add_worker()
+        group.start_soon(found.node.run)
+        with anyio.move_on_after(5):
+            while is_configured and not found.node.is_ready:
+                await anyio.sleep(0.01)
+        yield found
+        group.cancel_scope.cancel()
+
+
+def play(work: Callable[[Deployment], Awaitable[None]], is_configured: bool = True) -> None:
+    async def main() -> None:
+        async with deployment(is_configured) as found:
+            await work(found)
+
+    anyio.run(main)
+
+
+def lot(*item_ids: str, **changes: Any) -> dict[str, Any]:
+    items = [{"id": item_id, "path": "/drafts/1", "headers": {}, "body": "q83v", "tokens": 9, "group": "g"}
+             for item_id in item_ids]  # fmt: skip
+    return {"step": 0, "model": "m", "minVersion": 1, "desired": 1, "items": items, **changes}
+
+
+HEADERS = {"X-Worksramp-Attempt-Id": "b1"}
+
+
+def test_a_batch_is_taken_run_listed_read_and_ended() -> None:
+    async def work(found: Deployment) -> None:
+        client = found.client()
+        for _ in range(2):
+            answer = await client.post("/drafts/x", headers=HEADERS, json=lot("i1", "i2"))
+            assert answer.status_code == 202
+        body = await client.get("/api/items/b1", params={"id": "i1"})
+        assert (body.status_code, body.content) == (200, b"\xab\xcd\xef")
+        results: list[dict[str, Any]] = []
+        while len(results) < 2:
+            answer = await client.get(
+                "/api/lots/b1", params={"afterRev": len(results)}, headers={"X-Worksramp-Wait-Ms": "1000"}
+            )
+            page = answer.json()
+            results += page["results"]
+            assert (page["total"], page["nextToken"]) == (2, len(results))
+        assert {r["id"]: r["message"] for r in results} == {"i1": whole_text("i1"), "i2": whole_text("i2")}
+        assert all(r["state"] == "completed" and r["versions"] == [1] for r in results)
+        for _ in range(2):
+            assert (await client.delete("/api/lots/b1")).status_code == 200
+
+    play(work)
+
+
+BAD_LOTS: list[tuple[Any, str]] = [
+    ([], "body"),
+    ({"items": []}, "items"),
+    (lot("i1", "i1"), "items[1].id"),
+    (lot(""), "items[0].id"),
+    (lot("a/b"), "items[0].id"),
+    ({"items": [{"id": "i1", "path": "no-slash"}]}, "items[0].path"),
+    ({"items": [{"id": "i1", "path": "/x", "body": "%%"}]}, "body"),
+    (lot("i1", minVersion="newest"), "body"),
+]
+
+
+@pytest.mark.parametrize(("body", "field"), BAD_LOTS)
+def test_a_malformed_batch_is_refused_by_field_and_runs_nowhere(body: Any, field: str) -> None:
+    async def work(found: Deployment) -> None:
+        answer = await found.client().post("/drafts/x", headers=HEADERS, json=body)
+        assert answer.status_code == 400
+        assert answer.json()["field"] == field
+        assert answer.json()["error"]
+        assert found.fleet.runs == []
+
+    play(work)
+
+
+def test_other_bad_input_is_refused_with_its_reason() -> None:
+    async def work(found: Deployment) -> None:
+        client = found.client()
+        cases = [
+            (await client.post("/drafts/x", json=lot("i1")), 400),
+            (await client.put("/drafts/x", headers=HEADERS, json=lot("i1")), 405),
+            (await client.post("/drafts/x", headers=HEADERS, content=b"x" * 3001), 413),
+            (await client.post("/drafts/x", headers={**HEADERS, "x": "y" * 2000}, json=lot("i1")), 431),
+            (await client.get("/checks/1"), 400),
+            (await client.get("/nowhere/"), 404),
+            (await client.get("/drafts"), 404),
+            (await client.get("/api/lots/b1", params={"afterRev": "-1"}), 400),
+            (await client.get("/api/lots/none"), 404),
+            (await client.get("/api/items/none", params={"id": "i1"}), 404),
+            (await client.delete("/api/lots/none"), 404),
+        ]
+        assert [answer.status_code for answer, _ in cases] == [status for _, status in cases]
+        assert all(answer.json()["error"] for answer, _ in cases)
+        assert found.fleet.runs == []
+
+    play(work)
+
+
+def test_length_and_chunks_together_are_refused() -> None:
+    async def work(found: Deployment) -> None:
+        headers = {**HEADERS, "content-length": "3", "transfer-encoding": "chunked"}
+        answer = await found.client().post("/checks/1", headers=headers, content=b"abc")
+        assert answer.status_code == 400
+
+    play(work)
+
+
+def test_a_sender_that_stops_is_answered_in_time() -> None:
+    async def work(found: Deployment) -> None:
+        sent: list[Message] = []
+
+        async def receive() -> Message:
+            await anyio.sleep_forever()
+            raise AssertionError
+
+        async def send(message: Message) -> None:
+            sent.append(message)
+
+        scope: Scope = {"type": "http", "method": "POST", "path": "/checks/1", "raw_path": b"/checks/1",
+                        "query_string": b"", "server": ("127.0.0.1", 8001),
+                        "headers": [(b"host", HOST.encode())]}  # fmt: skip
+        receiver: Receive = receive
+        sender: Send = send
+        await found.api(scope, receiver, sender)
+        assert sent[0]["status"] == 408
+
+    play(work)
+
+
+def test_without_a_worker_a_live_request_is_refused_with_a_time_to_come_back() -> None:
+    async def work(found: Deployment) -> None:
+        answer = await found.client().get("/checks/1", headers=HEADERS)
+        assert answer.status_code == 503
+        assert 0 < float(answer.headers["retry-after"]) <= 1
+
+    play(work)
+
+
+def test_a_node_without_a_configuration_is_not_ready_and_says_so() -> None:
+    async def work(found: Deployment) -> None:
+        assert (await found.client(8002).get("/api/readyz")).status_code == 503
+        answer = await found.client().get("/checks/1", headers=HEADERS)
+        assert (answer.status_code, "retry-after" in answer.headers) == (503, True)
+
+    play(work, is_configured=False)
+
+
+def test_a_node_that_cannot_reach_the_store_never_says_that_a_batch_is_not_there() -> None:
+    async def work(found: Deployment) -> None:
+        found.store.faults.is_down = True
+        client = found.client()
+        cases = [
+            await client.get("/api/lots/b1"),
+            await client.get("/api/items/b1", params={"id": "i1"}),
+            await client.delete("/api/lots/b1"),
+        ]
+        assert [answer.status_code for answer in cases] == [503, 503, 503]
+        answer = await client.post("/drafts/x", headers=HEADERS, json=lot("i1"))
+        assert answer.status_code == 503
+
+    play(work)
+
+
+def test_an_append_without_an_answer_is_not_called_a_refusal() -> None:
+    async def work(found: Deployment) -> None:
+        found.store.faults.lost_answers = 1.0
+        answer = await found.client().post("/drafts/x", headers=HEADERS, json=lot("i1"))
+        assert answer.status_code == 504
+        found.store.faults.lost_answers = 0.0
+        answer = await found.client().post("/drafts/x", headers=HEADERS, json=lot("i1"))
+        assert answer.status_code == 202
+
+    play(work)
+
+
+def test_a_stopping_node_closes_connections_and_is_not_ready() -> None:
+    async def work(found: Deployment) -> None:
+        assert (await found.client(8002).get("/api/readyz")).status_code == 200
+        found.node.is_stopping = True
+        assert (await found.client(8002).get("/api/readyz")).status_code == 503
+        answer = await found.client().get("/nowhere/")
+        assert answer.headers["connection"] == "close"
+
+    play(work)
