--- a/src/worksramp/addresses.py
+++ b/src/worksramp/addresses.py
@@ -1,6 +1,7 @@
 """Checks of ``ip:port`` addresses."""
 
 import ipaddress
+import socket
 
 MAX_PORT = 65535
 
@@ -10,6 +11,8 @@
     host, separator, port = address.rpartition(":")
     if not separator:
         return f"{address!r} is not ip:port"
+    if ":" in host and not (host.startswith("[") and host.endswith("]")):
+        return f"{host!r} needs brackets around an IPv6 number"
     try:
         ipaddress.ip_address(host.strip("[]"))
     except ValueError:
@@ -17,3 +20,17 @@
     if not port.isascii() or not port.isdigit() or not 0 < int(port) <= MAX_PORT:
         return f"{port!r} is not a port from 1 to {MAX_PORT}"
     return None
+
+
+def reason_cannot_listen(address: str) -> str | None:
+    """Return why no server can listen at a checked ``ip:port``, None if one can."""
+    host, _, port = address.rpartition(":")
+    number = host.strip("[]")
+    family = socket.AF_INET6 if ipaddress.ip_address(number).version == 6 else socket.AF_INET
+    with socket.socket(family, socket.SOCK_STREAM) as listener:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            listener.bind((number, int(port)))
+        except OSError as error:
+            return f"cannot listen at {address}: {error.strerror}"
+    return None
--- a/src/worksramp/cli.py
+++ b/src/worksramp/cli.py
@@ -14,6 +14,7 @@
 import httpx
 import msgspec
 
+from worksramp.addresses import reason_cannot_listen
 from worksramp.node.main import run_node
 from worksramp.settings import load_settings
 from worksramp.settings_error import SettingsError
@@ -112,6 +113,10 @@
         except SettingsError as error:
             _fail(EXIT_USAGE, str(error))
             raise
+        for field in ("listen", "peer_listen"):
+            reason = reason_cannot_listen(getattr(checked, field))
+            if reason is not None:
+                _fail(EXIT_USAGE, f"{settings}: {field}: {reason}")
         anyio.run(run_node, checked)
 
     def status(self, node: str, key: str) -> None:
--- a/src/worksramp/edge/settings.py
+++ b/src/worksramp/edge/settings.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from worksramp.addresses import reason_bad_address
+from worksramp.addresses import reason_bad_address, reason_cannot_listen
 from worksramp.logs import LEVELS
 from worksramp.settings_error import SettingsError
 
@@ -90,6 +90,19 @@
     return settings
 
 
+def check_listen(file: str, settings: EdgeSettings) -> None:
+    """Check that servers can listen where the settings say.
+
+    Raises:
+        SettingsError: a port is taken, or the address is not this machine's.
+    """
+    for path in ("listen", "ready_listen", "metrics_listen"):
+        address = getattr(settings, path)
+        reason = reason_cannot_listen(address) if address else None
+        if reason is not None:
+            raise SettingsError(file, path, reason)
+
+
 def _check(file: str, settings: EdgeSettings) -> None:
     addresses = {"listen": settings.listen, "store.address": settings.store.address}
     addresses |= {"ready_listen": settings.ready_listen} if settings.ready_listen else {}
--- a/src/worksramp/settings.py
+++ b/src/worksramp/settings.py
@@ -3,6 +3,7 @@
 A wrong key, type, address or unit stops the start with the file, the path in it and the reason.
 """
 
+import math
 import re
 import tomllib
 from enum import StrEnum
@@ -11,10 +12,13 @@
 import msgspec
 
 from worksramp.addresses import reason_bad_address
+from worksramp.logs import LEVELS
 from worksramp.routing.subset import DEFAULT_SUBSET_SIZE
 from worksramp.settings_error import SettingsError
 
 SHA256_PATTERN = re.compile(r"^[0-9a-f]{64}$")
+#: Each shard has a stream of its own in the log.
+MAX_LEDGER_SHARDS = 4096
 ZONE_PATTERN = re.compile(r"^[a-z0-9][a-z0-9-]{0,62}$")
 
 
@@ -114,17 +118,32 @@
         reason = reason_bad_address(address)
         if reason is not None:
             raise SettingsError(file, path, reason)
-    if not ZONE_PATTERN.match(settings.zone):
-        raise SettingsError(file, "zone", f"{settings.zone!r} has other characters than a-z, 0-9 and -")
-    if not settings.roles:
-        raise SettingsError(file, "roles", "at least one role is needed")
+    _check_names(file, settings)
     for index, key in enumerate(settings.keys):
         if not SHA256_PATTERN.match(key.sha256):
             raise SettingsError(file, f"keys[{index}].sha256", "must be 64 lower-case hexadecimal digits")
     _check_positive(file, settings)
 
 
+def _check_names(file: str, settings: NodeSettings) -> None:
+    if settings.peer_listen == settings.listen:
+        raise SettingsError(file, "peer_listen", "must differ from listen")
+    if not settings.node_id.strip():
+        raise SettingsError(file, "node_id", "must not be empty")
+    if settings.log_level not in LEVELS:
+        raise SettingsError(file, "log_level", f"must be one of {', '.join(LEVELS)}")
+    if not ZONE_PATTERN.match(settings.zone):
+        raise SettingsError(file, "zone", f"{settings.zone!r} has other characters than a-z, 0-9 and -")
+    if not settings.roles:
+        raise SettingsError(file, "roles", "at least one role is needed")
+    if len(set(settings.roles)) < len(settings.roles):
+        raise SettingsError(file, "roles", "a role stands twice")
+
+
 def _check_positive(file: str, settings: NodeSettings) -> None:
     for path in ("num_ledger_shards", "subset_size", "drain_seconds", "default_deadline_seconds"):
-        if getattr(settings, path) <= 0:
-            raise SettingsError(file, path, "must be greater than 0")
+        value = getattr(settings, path)
+        if not math.isfinite(value) or value <= 0:
+            raise SettingsError(file, path, f"must be greater than 0 and finite, is {value}")
+    if settings.num_ledger_shards > MAX_LEDGER_SHARDS:
+        raise SettingsError(file, "num_ledger_shards", f"must be at most {MAX_LEDGER_SHARDS}")
--- /dev/null
+++ b/tests/unit/test_edge_settings.py
@@ -0,0 +1,77 @@
+"""Settings of an edge node that cannot be used stop the start with file, path and reason."""
+
+import socket
+from pathlib import Path
+
+import pytest
+
+from worksramp.edge.settings import check_listen, load_edge_settings
+from worksramp.settings_error import SettingsError
+
+GOOD = """
+node_id = "n"
+zone = "a"
+listen = "127.0.0.1:8000"
+ready_listen = "127.0.0.1:8001"
+[store]
+address = "127.0.0.1:1"
+[bounds]
+grace = 8
+"""
+
+
+def write(tmp_path: Path, text: str) -> str:
+    file = tmp_path / "edge.toml"
+    file.write_text(text, encoding="utf-8")
+    return str(file)
+
+
+def test_a_good_file_loads_and_fields_of_newer_files_are_passed_over(tmp_path: Path) -> None:
+    settings = load_edge_settings(
+        write(tmp_path, GOOD.replace("[bounds]", "[new]\nx = 1\n[bounds]\nnewer = 2"))
+    )
+    assert settings.bounds.grace == 8
+    assert settings.bounds.lease == 3
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "path"),
+    [
+        ('node_id = "n"', 'node_id = " "', "node_id"),
+        ('zone = "a"', 'zone = ""', "zone"),
+        ('listen = "127.0.0.1:8000"', 'listen = "here:8000"', "listen"),
+        ('ready_listen = "127.0.0.1:8001"', 'ready_listen = "127.0.0.1:0"', "ready_listen"),
+        ('address = "127.0.0.1:1"', 'address = "127.0.0.1"', "store.address"),
+        ('address = "127.0.0.1:1"', 'address = "127.0.0.1:1"\nnum_partitions = 0', "store.num_partitions"),
+        ("grace = 8", "grace = nan", "bounds.grace"),
+        ("grace = 8", "lease = -1", "bounds.lease"),
+        ("grace = 8", 'grace = "long"', "bounds.grace"),
+        ('node_id = "n"', 'node_id = "n"\nlog_level = "loud"', "log_level"),
+        ('node_id = "n"', 'node_id = "n"\nmax_loading = 0', "max_loading"),
+        ('node_id = "n"', "node_id", "(file)"),
+    ],
+)
+def test_a_bad_file_names_the_path(tmp_path: Path, old: str, new: str, path: str) -> None:
+    file = write(tmp_path, GOOD.replace(old, new, 1))
+    with pytest.raises(SettingsError) as caught:
+        load_edge_settings(file)
+    assert (caught.value.file, caught.value.path) == (file, path)
+
+
+def test_a_file_that_is_no_text_is_named(tmp_path: Path) -> None:
+    file = tmp_path / "edge.toml"
+    file.write_bytes(b"\xff\xfe\x00")
+    with pytest.raises(SettingsError, match="cannot be read"):
+        load_edge_settings(str(file))
+
+
+def test_a_port_that_is_taken_is_named_in_one_line(tmp_path: Path) -> None:
+    with socket.socket() as taken:
+        taken.bind(("127.0.0.1", 0))
+        taken.listen()
+        address = f"127.0.0.1:{taken.getsockname()[1]}"
+        file = write(tmp_path, GOOD.replace("127.0.0.1:8001", address))
+        with pytest.raises(SettingsError) as caught:
+            check_listen(file, load_edge_settings(file))
+    assert caught.value.path == "ready_listen"
+    assert "\n" not in str(caught.value)
--- a/tests/unit/test_settings.py
+++ b/tests/unit/test_settings.py
@@ -42,6 +42,14 @@
         ('node_id = "n"', 'node_id = "n"\nsubset_size = 0', "subset_size"),
         ('node_id = "n"', 'node_id = "n"\ndrain = 3', "(top)"),
         ('node_id = "n"', "node_id = ", "(file)"),
+        ('node_id = "n"', 'node_id = ""', "node_id"),
+        ('node_id = "n"', 'node_id = "n"\nroles = ["gateway", "gateway"]', "roles"),
+        ('node_id = "n"', 'node_id = "n"\ndrain_seconds = nan', "drain_seconds"),
+        ('node_id = "n"', 'node_id = "n"\ndrain_seconds = inf', "drain_seconds"),
+        ('node_id = "n"', 'node_id = "n"\nnum_ledger_shards = 10000000000', "num_ledger_shards"),
+        ('node_id = "n"', 'node_id = "n"\nlog_level = "loud"', "log_level"),
+        ('peer_listen = "127.0.0.1:8001"', 'peer_listen = "127.0.0.1:8000"', "peer_listen"),
+        ('listen = "127.0.0.1:8000"', 'listen = "::1:8000"', "listen"),
     ],
 )
 def test_a_bad_file_names_the_path(tmp_path: Path, old: str, new: str, path: str) -> None:
