--- /dev/null
+++ b/src/worksramp/edge/metrics.py
@@ -0,0 +1,55 @@
+"""Figures of one edge node, for Prometheus: counters by outcome, times by stage, and what the node believes.
+
+Label values come from fixed sets (kinds of routes, names of calls, classes of outcomes), so their number is
+bounded whatever callers send.
+"""
+
+from collections.abc import Callable
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+
+REQUEST_BUCKETS = (0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4)
+CALL_BUCKETS = (0.005, 0.01, 0.02, 0.05, 0.1, 0.3, 1.0, 3.0)
+ITEM_BUCKETS = (0.25, 0.5, 1.0, 2.0, 4.0, 6.0, 8.0, 12.0, 20.0, 40.0)
+
+
+class NodeMetrics:
+    """All figures of one node, in a registry of their own."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self._gauges: dict[str, Gauge] = {}
+        self.requests = self._counter("requests", "Live requests", "kind", "outcome")
+        self.request_seconds = self._histogram(
+            "request_seconds", "From reading a live request to its answer", REQUEST_BUCKETS, "kind"
+        )
+        self.batch_calls = self._counter("batch_calls", "Calls about batches", "call", "outcome")
+        self.batch_call_seconds = self._histogram(
+            "batch_call_seconds", "Time of calls about batches", CALL_BUCKETS, "call"
+        )
+        self.item_runs = self._counter("item_runs", "Runs of items at workers", "outcome")
+        self.item_seconds = self._histogram(
+            "item_seconds", "Age of a batch at the listing of an item", ITEM_BUCKETS
+        )
+        self.log_calls = self._counter("log_calls", "Calls to the shared log", "call", "outcome")
+        self.log_call_seconds = self._histogram(
+            "log_call_seconds", "Time of appends and of reads that do not wait", CALL_BUCKETS, "call"
+        )
+
+    def gauge(self, name: str, text: str, read: Callable[[], float], **labels: str) -> None:
+        """Add a figure that is read whenever the figures are asked for."""
+        gauge = self._gauges.get(name)
+        if gauge is None:
+            gauge = Gauge(f"worksramp_{name}", text, tuple(labels), registry=self.registry)
+            self._gauges[name] = gauge
+        (gauge.labels(**labels) if labels else gauge).set_function(read)
+
+    def text(self) -> bytes:
+        """Return all figures in Prometheus' text form."""
+        return generate_latest(self.registry)
+
+    def _counter(self, name: str, text: str, *labels: str) -> Counter:
+        return Counter(f"worksramp_{name}", text, labels, registry=self.registry)
+
+    def _histogram(self, name: str, text: str, buckets: tuple[float, ...], *labels: str) -> Histogram:
+        return Histogram(f"worksramp_{name}", text, labels, buckets=buckets, registry=self.registry)
--- a/src/worksramp/edge/node.py
+++ b/src/worksramp/edge/node.py
@@ -1,5 +1,6 @@
 """An edge node: what it follows, what it serves, when it is ready, and how it stops."""
 
+import functools
 import random
 import time
 import uuid
@@ -12,6 +13,8 @@
 from worksramp.coordination.keyed_replica import Change, KeyedReplica
 from worksramp.coordination.log_lease import LeaseTimes
 from worksramp.coordination.shared_log import SharedLog
+from worksramp.edge.metrics import NodeMetrics
+from worksramp.edge.observed_log import ObservedLog
 from worksramp.edge.ports import (
     PlatformRecords,
     TableAccepted,
@@ -24,13 +27,15 @@
 from worksramp.edge.shard import BatchShard, ShardContext
 from worksramp.rollout.batch_service import BatchService, ServiceTimes
 from worksramp.rollout.owner_context import TableSource
-from worksramp.routing.forward import Forwarder
-from worksramp.routing.table import RouteTable
+from worksramp.routing.forward import Forwarder, ForwardOutcome
+from worksramp.routing.table import Route, RouteTable
 from worksramp.routing.worker_port import WorkerPort
 from worksramp.routing.workers import WorkerDirectory
 
 BOOT_CHARACTERS = 8
 STOP_TICK_SECONDS = 0.05
+USABLE = "usable"
+WORKER_STATES = (USABLE, "leaving")
 
 logger = structlog.get_logger()
 
@@ -62,6 +67,7 @@
     records: PlatformRecords
     time_of_day: Callable[[], float] = time.time
     table: TableSource = field(default_factory=TableSource)
+    metrics: NodeMetrics = field(default_factory=NodeMetrics)
     directory: WorkerDirectory = field(default_factory=WorkerDirectory)
     named_versions: dict[str, int] = field(default_factory=dict)
     num_in_flight: int = 0
@@ -75,7 +81,8 @@
     def __post_init__(self) -> None:
         settings, bounds = self.settings, self.settings.bounds
         poll = poll_seconds(bounds)
-        self.forwarder = Forwarder(self.directory, self.port, random.Random())
+        self.log = ObservedLog(self.log, self.metrics)
+        self.forwarder = Forwarder(self.directory, self.port, random.Random(), self._note_request)
         self._control = KeyedReplica(self.log, self.records.control, poll, self._take_control)
         self._workers = KeyedReplica(self.log, self.records.workers, poll, self._take_worker)
         self.shard = BatchShard(
@@ -92,6 +99,7 @@
                 named_versions=self.named_versions,
                 max_loading=settings.max_loading,
                 status_seconds=bounds.status,
+                metrics=self.metrics,
                 may_own=lambda: self.is_ready,
                 time_of_day=self.time_of_day,
             )
@@ -103,6 +111,49 @@
             self.shard.replica,
             ServiceTimes(answer=bounds.acknowledge / 3, freshness=0.8 * bounds.settle),
         )
+        self._add_gauges()
+
+    def _add_gauges(self) -> None:
+        """Add the figures that say what this node believes now."""
+        gauge = self.metrics.gauge
+        gauge("ready", "Whether new callers should come here", lambda: float(self.is_ready))
+        gauge("in_flight", "Requests being answered", lambda: self.num_in_flight)
+        gauge(
+            "configuration_version",
+            "Version of the configuration in force",
+            lambda: self.table.current.version if self.table.current is not None else 0,
+        )
+        gauge("lease_epoch", "Epoch of the lease held, 0 for none", lambda: self.shard.epoch)
+        gauge("items_waiting", "Items that wait for a worker", lambda: self.shard.num_waiting)
+        for state in WORKER_STATES:
+            gauge(
+                "workers",
+                "Workers that have an entry",
+                functools.partial(self._num_workers, state),
+                state=state,
+            )
+        for name, replica in (
+            ("control", self._control),
+            ("workers", self._workers),
+            ("batches", self.shard.replica),
+        ):
+            gauge(
+                "replica_age_seconds",
+                "Since the last poll that found nothing missing",
+                replica.confirmed_age,
+                replica=name,
+            )
+
+    def _num_workers(self, state: str) -> int:
+        return sum(
+            1
+            for worker in self.directory.all_states()
+            if self.directory.is_usable(worker.entry.worker_id) == (state == USABLE)
+        )
+
+    def _note_request(self, route: Route, outcome: ForwardOutcome, seconds: float) -> None:
+        self.metrics.requests.labels(route.kind.value, type(outcome).__name__).inc()
+        self.metrics.request_seconds.labels(route.kind.value).observe(seconds)
 
     @property
     def is_loaded(self) -> bool:
--- /dev/null
+++ b/src/worksramp/edge/observed_log.py
@@ -0,0 +1,83 @@
+"""A shared log whose calls are counted and timed."""
+
+from dataclasses import dataclass
+
+import anyio
+
+from worksramp.coordination.shared_log import (
+    AppendOutcome,
+    Fence,
+    KeyedRecord,
+    LogUnavailableError,
+    NewestPage,
+    Partition,
+    RecordsGone,
+    RecordsRead,
+    SharedLog,
+)
+from worksramp.edge.metrics import NodeMetrics
+
+UNAVAILABLE = "Unavailable"
+
+
+@dataclass(slots=True)
+class _Call:
+    """One call under way."""
+
+    metrics: NodeMetrics
+    name: str
+    started_at: float
+
+    def end(self, outcome: object, is_timed: bool = True) -> None:
+        """Take in how it ended."""
+        text = outcome if isinstance(outcome, str) else type(outcome).__name__
+        self.metrics.log_calls.labels(self.name, text).inc()
+        if is_timed:
+            self.metrics.log_call_seconds.labels(self.name).observe(anyio.current_time() - self.started_at)
+
+
+class ObservedLog(SharedLog):
+    """Passes all calls on to another log and counts them by outcome."""
+
+    def __init__(self, log: SharedLog, metrics: NodeMetrics) -> None:
+        super().__init__(log.limits)
+        self._log = log
+        self._metrics = metrics
+
+    async def append(
+        self,
+        partition: Partition,
+        records: tuple[KeyedRecord, ...],
+        fence: Fence | None = None,
+        expected_end: int | None = None,
+    ) -> AppendOutcome:
+        """Append all records or none."""
+        call = self._begin("append")
+        outcome = await self._log.append(partition, records, fence, expected_end)
+        call.end(outcome)
+        return outcome
+
+    async def read(self, partition: Partition, start: int, wait_seconds: float) -> RecordsRead | RecordsGone:
+        """Read records from an offset."""
+        call = self._begin("read")
+        try:
+            answer = await self._log.read(partition, start, wait_seconds)
+        except LogUnavailableError:
+            call.end(UNAVAILABLE, is_timed=False)
+            raise
+        call.end(answer, is_timed=not wait_seconds)
+        return answer
+
+    async def newest(self, partition: Partition, after: str | None) -> NewestPage:
+        """Read a page of the newest records by key."""
+        call = self._begin("newest")
+        try:
+            page = await self._log.newest(partition, after)
+        except LogUnavailableError:
+            call.end(UNAVAILABLE, is_timed=False)
+            raise
+        call.end(page)
+        return page
+
+    def _begin(self, name: str) -> _Call:
+        return _Call(self._metrics, name, anyio.current_time())
--- a/src/worksramp/edge/shard.py
+++ b/src/worksramp/edge/shard.py
@@ -26,6 +26,7 @@
     Partition,
     SharedLog,
 )
+from worksramp.edge.metrics import NodeMetrics
 from worksramp.rollout.batch_owner import BatchOwner
 from worksramp.rollout.batches import BatchLedger
 from worksramp.rollout.owner_context import OwnerContext, TableSource
@@ -67,6 +68,7 @@
     max_loading: int
     status_seconds: float
     may_own: Callable[[], bool]
+    metrics: NodeMetrics
     time_of_day: Callable[[], float] = time.time
 
 
@@ -97,6 +99,16 @@
         """Whether this node holds the lease, as far as it knows."""
         return self._owner is not None
 
+    @property
+    def epoch(self) -> int:
+        """Epoch of the lease that this node holds, 0 when it holds none."""
+        return self._writer.owner.epoch if self._writer is not None else 0
+
+    @property
+    def num_waiting(self) -> int:
+        """Items that wait for a place, as far as this node owns them."""
+        return len(self._owner.items.waiting()) if self._owner is not None else 0
+
     def wake(self) -> None:
         """Tell the owner's work that the directory or the configuration has changed."""
         if self._owner is not None:
@@ -205,6 +217,8 @@
                 context.log.limits.max_record_bytes,
                 context.status_seconds,
                 context.time_of_day,
+                lambda outcome: context.metrics.item_runs.labels(outcome).inc(),
+                context.metrics.item_seconds.observe,
             )
         )
         mover = VersionMover(self._mover_context(owner, writer, record.epoch))
--- a/src/worksramp/rollout/batch_owner.py
+++ b/src/worksramp/rollout/batch_owner.py
@@ -194,6 +194,7 @@
             if run.scope.cancelled_caught:
                 outcome = RunBroken("moved" if run.is_moving else "closed")
         work.run = None
+        self._context.on_run_ended(type(outcome).__name__)
         if not work.is_done:
             self._take_outcome(work, run, outcome, len(work.text.pieces) - num_before)
         self.wake()
@@ -287,6 +288,7 @@
         if work.num_checkpointed or work.item.item_id in self._context.ledger.progress:
             records.append(record_of_forgotten_progress(work.item.item_id))
         self._context.writer.put(*records)
+        self._context.on_listed(self._context.time_of_day() - work.submitted_at)
         if not is_completed:
             logger.warning(
                 "item_given_up",
--- a/src/worksramp/rollout/owner_context.py
+++ b/src/worksramp/rollout/owner_context.py
@@ -11,6 +11,10 @@
 from worksramp.routing.workers import WorkerDirectory
 
 
+def _ignore(_: object) -> None:
+    """Take in nothing."""
+
+
 class TableSource:
     """Where the configuration in force is found."""
 
@@ -26,6 +30,8 @@
         table: where the configuration in force is found.
         status_seconds: age until which the results of an ended batch are kept.
         time_of_day: seconds, as batches are stamped.
+        on_run_ended: told the class of each run's outcome.
+        on_listed: told the age of the batch, in seconds, at each listing.
     """
 
     ledger: BatchLedger
@@ -36,3 +42,5 @@
     max_record_bytes: int
     status_seconds: float
     time_of_day: Callable[[], float] = time.time
+    on_run_ended: Callable[[str], None] = _ignore
+    on_listed: Callable[[float], None] = _ignore
--- a/src/worksramp/routing/forward.py
+++ b/src/worksramp/routing/forward.py
@@ -4,6 +4,7 @@
 """
 
 import random
+from collections.abc import Callable
 from contextlib import AsyncExitStack
 from dataclasses import dataclass
 
@@ -50,13 +51,21 @@
 
 
 ForwardOutcome = WholeAnswer | StreamAnswer | NotRun | MayHaveRun
+OutcomeObserver = Callable[[Route, ForwardOutcome, float], None]
 
 
 class Forwarder:
     """Forwards live requests of one node."""
 
-    def __init__(self, directory: WorkerDirectory, port: WorkerPort, source: random.Random) -> None:
+    def __init__(
+        self,
+        directory: WorkerDirectory,
+        port: WorkerPort,
+        source: random.Random,
+        on_outcome: OutcomeObserver | None = None,
+    ) -> None:
         self._port = port
+        self._on_outcome = on_outcome
         self._choice = WorkerChoice(directory, source)
 
     async def forward(self, request: LiveRequest, route: Route, stack: AsyncExitStack) -> ForwardOutcome:
@@ -67,6 +76,8 @@
         """
         course = Course()
         outcome = await self._forward(request, route, stack, course)
+        if self._on_outcome is not None:
+            self._on_outcome(route, outcome, anyio.current_time() - request.received_at)
         logger.info(
             "request_forwarded",
             request_id=request.request_id,
