--- /dev/null
+++ b/tests/unit/test_batch_decisions.py
@@ -0,0 +1,126 @@
+"""Decisions about batches from one view: who runs what, who loads, who claims, who orders."""
+
+from worksramp.coordination.log_lease import (
+    ClaimLease,
+    LeaseTimes,
+    LeaseView,
+    LeaveLease,
+    OwnerRecord,
+    decide_claim,
+    may_order,
+)
+from worksramp.rollout.batch_schedule import Place, WaitingItem, assign, pace_tier
+from worksramp.rollout.pace import PaceTracker
+from worksramp.weights.version_moves import ModelNeed, Move, WorkerVersion, decide_moves
+
+TIMES = LeaseTimes(expiry=1.2, renewal=0.3, order_validity=0.9, order_guard=4.2, max_replica_age=0.8)
+
+
+def item(index: int, tokens: int = 100, **changes: object) -> WaitingItem:
+    values = {
+        "key": ("b", index), "service": "s", "model": "m", "batch_age_seconds": 0.0,
+        "num_expected_tokens": tokens, "num_memory_tokens": 1, "min_version": 1,
+    }  # fmt: skip
+    return WaitingItem(**(values | changes))  # type: ignore[arg-type]
+
+
+def place(name: str, num_slots: int = 2, num_running: int = 0, version: int = 1, **changes: object) -> Place:
+    values = {
+        "worker_id": name, "service": "s", "num_slots": num_slots, "num_running": num_running,
+        "num_expected_tokens": 0, "versions": {"m": version},
+    }  # fmt: skip
+    return Place(**(values | changes))  # type: ignore[arg-type]
+
+
+def given(waiting: list[WaitingItem], places: list[Place]) -> dict[int, str]:
+    return {assignment.key[1]: assignment.worker_id for assignment in assign(waiting, places)}
+
+
+def test_the_longest_items_get_the_fast_workers() -> None:
+    fast, slow = place("fast", seconds_per_event=0.04), place("slow", seconds_per_event=0.053)
+    assert given([item(0, 10), item(1, 900), item(2, 500), item(3, 20)], [slow, fast]) == {
+        1: "fast", 2: "fast", 3: "slow", 0: "slow",
+    }  # fmt: skip
+
+
+def test_old_batches_go_first() -> None:
+    assert given([item(0, 900), item(1, 10, batch_age_seconds=3.0)], [place("w", 1)]) == {1: "w"}
+
+
+def test_no_item_goes_where_its_versions_do_not_allow() -> None:
+    places = [place("old", version=1), place("new", version=3), place("loads", 9, loading=frozenset("m"))]
+    assert given([item(0, min_version=2)], places) == {0: "new"}
+    assert given([item(0, only_version=2)], places) == {}
+    assert given([item(0, avoided=frozenset(["new", "old"]))], places) == {}
+
+
+def test_no_more_runs_than_slots() -> None:
+    assert len(given([item(number) for number in range(9)], [place("a", 3, 1), place("b", 2, 2)])) == 2
+
+
+def test_paces_that_hardly_differ_are_one_tier() -> None:
+    assert [pace_tier(pace, 0.04) for pace in (None, 0.04, 0.045, 0.053, 0.14)] == [0, 0, 0, 2, 8]
+
+
+def test_a_slow_worker_is_known_by_its_pace_until_that_is_too_old() -> None:
+    pace = PaceTracker()
+    for step in range(10):
+        for worker, seconds in (("a", 0.04), ("b", 0.04), ("c", 0.14)):
+            pace.observe(worker, seconds, step / 10)
+    assert [pace.is_slow(worker, 1.0) for worker in "abc"] == [False, False, True]
+    assert not pace.is_slow("c", 10.0)
+
+
+def need(*workers: WorkerVersion, min_version: int = 1, num_waiting: int = 0) -> ModelNeed:
+    return ModelNeed(
+        model="m",
+        named_version=3,
+        min_version=min_version,
+        num_waiting=num_waiting,
+        has_one_version_runs=False,
+        workers=workers,
+    )
+
+
+def test_a_worker_that_may_not_run_what_waits_loads_at_once_and_others_when_idle() -> None:
+    busy, idle = WorkerVersion("busy", 2, 3, False), WorkerVersion("idle", 2, 0, False)
+    too_old = WorkerVersion("old", 1, 0, False)
+    assert decide_moves([need(busy, idle, too_old, min_version=2, num_waiting=1)], 0, 2) == [
+        Move("old", "m", 3, False)
+    ]
+    assert [move.worker_id for move in decide_moves([need(busy, idle, too_old)], 0, 2)] == ["old", "idle"]
+
+
+def test_no_more_loads_at_once_than_allowed_and_one_order_a_worker() -> None:
+    workers = tuple(WorkerVersion(f"w{number}", 1, 0, False) for number in range(5))
+    assert len(decide_moves([need(*workers, min_version=2)], 0, 2)) == 2
+    assert len(decide_moves([need(*workers, min_version=2)], 2, 2)) == 0
+    two_models = [need(workers[0], min_version=2), need(workers[0], min_version=2)]
+    assert len(decide_moves(two_models, 0, 2)) == 1
+    assert decide_moves([need(WorkerVersion("w", 1, 0, is_loading=True), min_version=2)], 0, 2) == []
+
+
+def view(owner: OwnerRecord | None, changed_at: float = 0.0, **changes: object) -> LeaseView:
+    values = {"is_own_machine": False, "replica_age": 0.1, "may_own": True, "jitter": 0.2}
+    return LeaseView(owner=owner, owner_changed_at=changed_at, **(values | changes))  # type: ignore[arg-type]
+
+
+def test_a_lease_is_claimed_once_its_owner_is_silent_and_the_copy_is_fresh() -> None:
+    owner = OwnerRecord("a", "x", 4)
+    assert decide_claim(view(owner), TIMES, 1.3) == LeaveLease("owner_renews")
+    assert decide_claim(view(owner), TIMES, 1.5) == ClaimLease(5)
+    assert decide_claim(view(owner, replica_age=1.0), TIMES, 9.0) == LeaveLease("copy_not_fresh")
+    assert decide_claim(view(owner, may_own=False), TIMES, 9.0) == LeaveLease("not_wanted")
+    assert decide_claim(view(None), TIMES, 0.3) == ClaimLease(1)
+
+
+def test_a_lease_given_back_or_held_by_a_former_process_of_this_machine_is_claimed_at_once() -> None:
+    assert decide_claim(view(OwnerRecord("a", "x", 4, is_released=True)), TIMES, 0.3) == ClaimLease(5)
+    assert decide_claim(view(OwnerRecord("a", "x", 4), is_own_machine=True), TIMES, 0.0) == ClaimLease(5)
+
+
+def test_orders_wait_for_a_former_owners_announcement_and_need_a_young_renewal() -> None:
+    assert not may_order(now=10.0, former_order_at=6.0, renewed_at=10.0, times=TIMES)
+    assert may_order(now=10.3, former_order_at=6.0, renewed_at=10.0, times=TIMES)
+    # As after a pause that the owner did not notice.
+    assert not may_order(now=13.0, former_order_at=6.0, renewed_at=10.0, times=TIMES)
--- /dev/null
+++ b/tests/unit/test_forward.py
@@ -0,0 +1,219 @@
+"""Attempts of live requests: what may be sent again, what is called not run, and whose answer comes back."""
+
+import random
+from collections.abc import AsyncIterator, Callable
+from contextlib import AsyncExitStack, asynccontextmanager
+from dataclasses import dataclass, field
+
+import anyio
+import pytest
+
+from worksramp.logs import configure_logs
+from worksramp.routing.attempts import LiveRequest, WholeAnswer
+from worksramp.routing.forward import Forwarder, ForwardOutcome, MayHaveRun, NotRun
+from worksramp.routing.live_stream import StreamAnswer
+from worksramp.routing.table import Route, RouteKind, SplitPart
+from worksramp.routing.worker_port import (
+    OrderOutcome,
+    VersionOrder,
+    WorkerAnswer,
+    WorkerAnswerBrokenError,
+    WorkerPort,
+    WorkerReport,
+    WorkerRequest,
+    WorkerUnreachableError,
+)
+from worksramp.routing.workers import WorkerDirectory, WorkerEntry
+from worksramp_emulator.simulation.clock import run_simulated
+
+DEADLINE_SECONDS = 1.0
+
+
+@dataclass
+class Script:
+    """What the n-th attempt meets."""
+
+    kind: str
+    seconds: float = 0.01
+    events: tuple[str, ...] = ()
+    status: int = 200
+
+
+@dataclass
+class ScriptedPort(WorkerPort):
+    scripts: list[Script]
+    sent: list[tuple[str, WorkerRequest]] = field(default_factory=list)
+    num_open: int = 0
+    version_field = "version"
+
+    @asynccontextmanager
+    async def send(self, worker: WorkerEntry, request: WorkerRequest) -> AsyncIterator[WorkerAnswer]:
+        script = self.scripts[len(self.sent)]
+        self.sent.append((worker.worker_id, request))
+        if script.kind == "unreachable":
+            raise WorkerUnreachableError(worker.worker_id)
+        self.num_open += 1
+        try:
+            await anyio.sleep(script.seconds)
+            if script.kind == "broken":
+                raise WorkerAnswerBrokenError(worker.worker_id)
+            yield WorkerAnswer(
+                status=503 if script.kind == "full" else script.status,
+                headers=((b"worker", worker.worker_id.encode()),),
+                is_not_run=script.kind in ("full", "other"),
+                is_other_worker=script.kind == "other",
+                is_leaving=False,
+                is_signed=True,
+                load=None,
+                weight_version=None,
+                body=self._body(script),
+            )
+        finally:
+            self.num_open -= 1
+
+    async def _body(self, script: Script) -> AsyncIterator[bytes]:
+        for event in script.events:
+            yield event.encode()
+        if script.kind == "cut":
+            raise WorkerAnswerBrokenError("cut")
+
+    async def order_version(self, worker: WorkerEntry, order: VersionOrder) -> OrderOutcome:
+        raise NotImplementedError
+
+    async def report(self, worker: WorkerEntry) -> WorkerReport | None:
+        raise NotImplementedError
+
+
+def route(kind: RouteKind, max_attempts: int = 2, is_resumable: bool = False) -> Route:
+    return Route(
+        "r", "h", "/", kind, (SplitPart("s", 1.0),), timeout_seconds=0.8, objective_seconds=0.2,
+        max_attempts=max_attempts, is_resumable=is_resumable,
+    )  # fmt: skip
+
+
+def play(
+    port: ScriptedPort,
+    on: Route,
+    num_workers: int = 3,
+    take: Callable[[ForwardOutcome], object] | None = None,
+) -> tuple[ForwardOutcome, float, bytes]:
+    """Forward one request; return outcome, seconds, and the bytes of a stream."""
+    configure_logs("error")
+    directory = WorkerDirectory()
+    for number in range(num_workers):
+        directory.put(WorkerEntry(f"w{number}", "s", f"w{number}:1", "z", 4))
+
+    async def main() -> tuple[ForwardOutcome, float, bytes]:
+        forwarder = Forwarder(directory, port, random.Random(1))
+        now = anyio.current_time()
+        request = LiveRequest("id", "POST", b"/x", (), b"", now, now + DEADLINE_SECONDS)
+        streamed = b""
+        async with AsyncExitStack() as stack:
+            outcome = await forwarder.forward(request, on, stack)
+            if isinstance(outcome, StreamAnswer):
+                try:
+                    async for block in outcome.events:
+                        streamed += block
+                except WorkerAnswerBrokenError:
+                    streamed += b"(cut)"
+        return outcome, anyio.current_time() - now, streamed
+
+    result = run_simulated(main, 1)
+    assert port.num_open == 0
+    return result
+
+
+@pytest.mark.parametrize("kind", [RouteKind.IDEMPOTENT, RouteKind.NON_IDEMPOTENT])
+@pytest.mark.parametrize("first", ["unreachable", "full", "other"])
+def test_what_has_certainly_not_run_goes_to_another_worker(first: str, kind: RouteKind) -> None:
+    port = ScriptedPort([Script(first), Script("answer")])
+    outcome, _, _ = play(port, route(kind))
+    assert isinstance(outcome, WholeAnswer) and outcome.status == 200
+    assert len({worker for worker, _ in port.sent}) == 2
+
+
+def test_a_broken_answer_is_tried_again_only_where_that_is_allowed() -> None:
+    port = ScriptedPort([Script("broken"), Script("answer")])
+    assert isinstance(play(port, route(RouteKind.IDEMPOTENT))[0], WholeAnswer)
+    port = ScriptedPort([Script("broken"), Script("answer")])
+    outcome, _, _ = play(port, route(RouteKind.NON_IDEMPOTENT))
+    assert isinstance(outcome, MayHaveRun) and not outcome.is_late
+    assert len(port.sent) == 1
+
+
+def test_no_more_workers_than_the_route_allows() -> None:
+    port = ScriptedPort([Script("full"), Script("full"), Script("answer")])
+    outcome, _, _ = play(port, route(RouteKind.IDEMPOTENT, max_attempts=2))
+    assert isinstance(outcome, NotRun) and outcome.retry_after_seconds > 0
+    assert len(port.sent) == 2
+
+
+def test_a_request_given_up_on_is_answered_at_once() -> None:
+    port = ScriptedPort([Script("full"), Script("full")])
+    _, seconds, _ = play(port, route(RouteKind.IDEMPOTENT))
+    assert seconds < 0.05
+    outcome, seconds, _ = play(ScriptedPort([]), route(RouteKind.IDEMPOTENT), num_workers=0)
+    assert isinstance(outcome, NotRun) and seconds == 0
+
+
+def test_a_late_worker_is_backed_up_and_the_first_answer_wins() -> None:
+    port = ScriptedPort([Script("answer", 5.0), Script("answer", 0.02)])
+    outcome, seconds, _ = play(port, route(RouteKind.IDEMPOTENT))
+    assert isinstance(outcome, WholeAnswer)
+    assert outcome.headers == ((b"worker", port.sent[1][0].encode()),)
+    assert 0.1 < seconds < 0.15
+
+
+def test_no_backup_where_a_request_may_run_once_only() -> None:
+    port = ScriptedPort([Script("answer", 0.5)])
+    outcome, _, _ = play(port, route(RouteKind.NON_IDEMPOTENT))
+    assert isinstance(outcome, WholeAnswer) and len(port.sent) == 1
+
+
+def test_the_time_out_of_the_route_ends_it_as_perhaps_run() -> None:
+    port = ScriptedPort([Script("answer", 5.0), Script("answer", 5.0)])
+    outcome, seconds, _ = play(port, route(RouteKind.IDEMPOTENT))
+    assert isinstance(outcome, MayHaveRun) and outcome.is_late
+    assert seconds == pytest.approx(0.8)
+    assert all((request.deadline_seconds or 9) <= 0.8 for _, request in port.sent)
+
+
+def test_a_workers_failure_is_passed_on_when_no_other_does_better() -> None:
+    port = ScriptedPort([Script("answer", status=500), Script("answer", status=500)])
+    outcome, _, _ = play(port, route(RouteKind.IDEMPOTENT))
+    assert isinstance(outcome, WholeAnswer) and outcome.status == 500
+
+
+def event(number: int) -> str:
+    return f"id: {number}\ndata: d{number}\n\n"
+
+
+def test_a_broken_stream_goes_on_after_its_last_whole_event() -> None:
+    port = ScriptedPort(
+        [
+            Script("cut", events=(event(1), event(2), "id: 3\nda")),
+            Script("answer", events=(event(3), event(4))),
+        ]
+    )
+    outcome, _, streamed = play(port, route(RouteKind.STREAMING, is_resumable=True))
+    assert isinstance(outcome, StreamAnswer)
+    assert streamed.decode() == "".join(event(number) for number in (1, 2, 3, 4))
+    assert [request.resume_after for _, request in port.sent] == [None, "2"]
+
+
+def test_a_stream_that_may_not_be_resumed_is_left_visibly_unfinished() -> None:
+    port = ScriptedPort([Script("cut", events=(event(1), "id: 2\nda"))])
+    _, _, streamed = play(port, route(RouteKind.STREAMING))
+    assert streamed.decode() == event(1) + "(cut)"
+
+
+def test_a_stream_that_ends_inside_an_event_is_not_complete() -> None:
+    port = ScriptedPort([Script("answer", events=(event(1), "id: 2\nda"))])
+    _, _, streamed = play(port, route(RouteKind.STREAMING))
+    assert streamed.decode() == event(1) + "(cut)"
+
+
+def test_a_stream_that_was_refused_is_opened_elsewhere() -> None:
+    port = ScriptedPort([Script("full"), Script("answer", events=(event(1),))])
+    outcome, _, streamed = play(port, route(RouteKind.STREAMING))
+    assert isinstance(outcome, StreamAnswer) and streamed.decode() == event(1)
