--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -1,4 +1,4 @@
-"""Stand-in of the platform's store, written from its protocol page, over the emulator's log."""
+"""Stand-ins of the platform's store and workers, written from its protocol page, over the emulator."""
 
 import base64
 import json
@@ -6,6 +6,8 @@
 from typing import Any
 from urllib.parse import parse_qs
 
+import anyio
+
 from worksramp.coordination.shared_log import (
     Appended,
     ConditionFailed,
@@ -16,7 +18,15 @@
     Partition,
     StoredRecord,
 )
-from worksramp.edge.asgi import Receive, Scope, Send, read_body
+from worksramp.edge.asgi import Receive, Scope, Send, json_answer, read_body, send_answer, send_stream
+from worksramp.routing.worker_port import (
+    OrderHeldAlready,
+    OrderTaken,
+    RunsDuringLoad,
+    VersionOrder,
+    WorkerRequest,
+)
+from worksramp_emulator.batch_fleet import BatchFleet, FleetPort
 from worksramp_emulator.shared_log import LogStore
 
 MAX_BODY = 4_000_000
@@ -47,6 +57,8 @@
         self.page_size = 2
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        if scope["type"] != "http":
+            return
         query = {name: values[0] for name, values in parse_qs(scope["query_string"].decode()).items()}
         body = await read_body(receive, MAX_BODY)
         partition = Partition(query["topic"], int(query["part"]))
@@ -54,10 +66,18 @@
             status, answer = self.refuse_with, b"{}"
         else:
             handler = {"log-append": self._append, "log-read": self._read, "log-newest": self._newest}
-            status, answer = handler[scope["path"].rpartition("/")[2]](partition, query, body)
+            name = scope["path"].rpartition("/")[2]
+            if name == "log-read":
+                await self._wait_for_record(partition, query)
+            status, answer = handler[name](partition, query, body)
         await send({"type": "http.response.start", "status": status, "headers": []})
         await send({"type": "http.response.body", "body": answer})
 
+    async def _wait_for_record(self, partition: Partition, query: dict[str, str]) -> None:
+        with anyio.move_on_after(int(query.get("waitMs", "0")) / 1000):
+            while len(self.store.state(partition).records) <= int(query["from"]):
+                await self.store.state(partition).changed.wait()
+
     def _append(self, partition: Partition, query: dict[str, str], body: bytes) -> tuple[int, bytes]:
         fence = None
         if "producer" in query:
@@ -94,3 +114,65 @@
         ]
         answer = {"items": items, "more": len(keys) > self.page_size, "end": len(state.records)}
         return 200, json.dumps(answer).encode()
+
+
+class WorkerApp:
+    """One model worker: items as streams of events, reports, and orders of versions."""
+
+    def __init__(self, fleet: BatchFleet, worker_id: str, model: str) -> None:
+        self._fleet = fleet
+        self._worker = fleet.workers[worker_id]
+        self._port = FleetPort(fleet, "caller", model)
+        self._model = model
+        self.seen: list[dict[str, str]] = []
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        if scope["type"] != "http":
+            return
+        headers = {key.decode().lower(): value.decode() for key, value in scope["headers"]}
+        body = await read_body(receive, MAX_BODY)
+        if headers.get("x-worksramp-expect-instance") != self._worker.entry.worker_id:
+            await send_answer(send, json_answer(421, {}))
+        elif scope["path"] == "/api/report":
+            await send_answer(send, json_answer(200, self._report()))
+        elif scope["path"] == "/api/order":
+            await send_answer(send, json_answer(self._order(json.loads(body)), {}))
+        else:
+            self.seen.append({**headers, "path": scope["raw_path"].decode(), "body": body.hex()})
+            await self._run(headers, send)
+
+    def _report(self) -> dict[str, Any]:
+        models = [{"name": name, "version": version} for name, version in self._worker.versions.items()]
+        return {"models": models, "busy": bool(self._worker.loading), "seq": self._worker.order_sequence}
+
+    def _order(self, body: dict[str, Any]) -> int:
+        order = VersionOrder(
+            body["model"],
+            body["version"],
+            RunsDuringLoad.CONTINUE,
+            body["holder"],
+            body["fence"],
+            body.get("expectedRev"),
+        )
+        outcome = self._fleet.take_order(self._worker, order)
+        return {OrderTaken: 202, OrderHeldAlready: 200}.get(type(outcome), 409)
+
+    async def _run(self, headers: dict[str, str], send: Send) -> None:
+        request = WorkerRequest(
+            headers["x-worksramp-attempt-id"],
+            "POST",
+            b"/",
+            (),
+            b"",
+            resume_after=headers.get("last-event-id"),
+        )
+        async with self._port.send(self._worker.entry, request) as answer:
+            head = [
+                (b"x-worksramp-attempt-id", request.request_id.encode()),
+                (b"x-worksramp-server-stamp", b"stamp"),
+                (b"x-worksramp-weight-versions", str(answer.weight_version).encode()),
+            ]
+            if answer.is_not_run:
+                await send_answer(send, json_answer(503, {}, [(b"x-worksramp-not-executed", b"1")]))
+                return
+            await send_stream(send, answer.status, head, answer.body)
