--- /dev/null
+++ b/tests/unit/test_claims.py
@@ -0,0 +1,60 @@
+"""Claims of a lease that meet: one is let through, whatever becomes of the answers."""
+
+import random
+from typing import Any
+
+import anyio
+import pytest
+
+from worksramp.coordination.log_lease import OwnerRecord
+from worksramp.logs import configure_logs
+from worksramp_emulator.simulation.batch_world import BatchWorld, BatchWorldSpec
+from worksramp_emulator.simulation.clock import run_simulated
+
+
+def race(lost_answers: float, seed: int) -> tuple[list[str], str]:
+    """Let four nodes claim at the same moment; return who believes to have won, and whom the log names."""
+    configure_logs("error")
+
+    async def main() -> tuple[list[str], str]:
+        async with anyio.create_task_group() as group:
+            world = BatchWorld(BatchWorldSpec(num_workers=1), seed, group)
+            random.seed(seed)
+            winners: list[str] = []
+
+            async def claim(shard: Any, name: str) -> None:
+                if await shard._claim(OwnerRecord(name, name, 1)):
+                    winners.append(name)
+
+            for slot in world.slots:
+                world.start_node(slot)
+                assert slot.node is not None
+                await slot.node.shard.replica.wait_loaded()
+            # No node has a configuration, so that none claims by itself.
+            world.store.faults.lost_answers = lost_answers
+            async with anyio.create_task_group() as claims:
+                for slot in world.slots:
+                    assert slot.node is not None
+                    claims.start_soon(claim, slot.node.shard, slot.name)
+            shard = world.slots[0].node.shard if world.slots[0].node else None
+            assert shard is not None
+            world.store.faults.lost_answers = 0.0
+            await shard.replica.barrier(2.0)
+            assert shard.owner_record is not None
+            owner = shard.owner_record.node
+            group.cancel_scope.cancel()
+        return winners, owner
+
+    return run_simulated(main, seed)
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_one_of_several_claims_wins(seed: int) -> None:
+    winners, owner = race(0.0, seed)
+    assert winners == [owner]
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_a_claim_whose_answer_is_lost_is_found_in_the_log_or_not_believed(seed: int) -> None:
+    winners, owner = race(0.6, seed)
+    assert set(winners) <= {owner}
