A batch is taken without a copy of the log; SIGHUP reads the settings again

SIGHUP was logged and no more: now new bounds hold at once, what needs a start is named, and a damaged file leaves the old settings in force (settings_refused with file, path and reason).

--- a/src/worksramp/edge/serve.py
+++ b/src/worksramp/edge/serve.py
@@ -4,12 +4,15 @@
 from collections.abc import Awaitable, Callable
 
 import anyio
+import msgspec
 import structlog
 from hypercorn.asyncio import serve
 from hypercorn.config import Config
 
 from worksramp.edge.asgi import Receive, Scope, Send
 from worksramp.edge.node import EdgeNode
+from worksramp.edge.settings import EdgeSettings
+from worksramp.settings_error import SettingsError
 
 Application = Callable[[Scope, Receive, Send], Awaitable[None]]
 
@@ -18,12 +21,19 @@
 DEFAULT_IDLE_SECONDS = 15.0
 GRACEFUL_SECONDS = 0.5
 IDLE_TICK_SECONDS = 0.5
+RELOADABLE = ("bounds", "max_loading")
 
 logger = structlog.get_logger()
 
 
-async def serve_node(node: EdgeNode, application: Application) -> None:
-    """Serve until a signal says to stop, then stop in order."""
+async def serve_node(
+    node: EdgeNode, application: Application, read_settings: Callable[[], EdgeSettings]
+) -> None:
+    """Serve until a signal says to stop, then stop in order.
+
+    Args:
+        read_settings: reads the settings file again; raises SettingsError when it cannot be used.
+    """
     config = _config(node)
     http_stop, http_ended = anyio.Event(), anyio.Event()
     async with anyio.create_task_group() as group:
@@ -38,7 +48,7 @@
         logger.info(
             "started", node=node.settings.node_id, zone=node.settings.zone, listen=node.settings.listen
         )
-        await _wait_for_stop_signal()
+        await _wait_for_stop_signal(node, read_settings)
         await node.stop()
         http_stop.set()
         with anyio.move_on_after(2 * GRACEFUL_SECONDS):
@@ -73,9 +83,31 @@
         await anyio.sleep(IDLE_TICK_SECONDS)
 
 
-async def _wait_for_stop_signal() -> None:
+async def _wait_for_stop_signal(node: EdgeNode, read_settings: Callable[[], EdgeSettings]) -> None:
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
         async for number in signals:
             logger.info("signal", name=number.name)
             if number is not signal.SIGHUP:
                 return
+            reload_settings(node, read_settings)
+
+
+def reload_settings(node: EdgeNode, read_settings: Callable[[], EdgeSettings]) -> None:
+    """Read the settings again; those that cannot be used leave the old ones in force.
+
+    Bounds and limits hold from now on; addresses, names and the store need a new start, which is said.
+    """
+    try:
+        settings = read_settings()
+    except SettingsError as error:
+        logger.error("settings_refused", file=error.file, path=error.path, reason=error.reason)
+        return
+    before = node.settings
+    changed = [
+        name for name in EdgeSettings.__struct_fields__ if getattr(settings, name) != getattr(before, name)
+    ]
+    needs_start = [name for name in changed if name not in RELOADABLE]
+    node.settings = msgspec.structs.replace(
+        before, **{name: getattr(settings, name) for name in changed if name in RELOADABLE}
+    )
+    logger.info("settings_reloaded", changed=",".join(changed), needs_start=",".join(needs_start))
--- a/src/worksramp/rollout/batch_service.py
+++ b/src/worksramp/rollout/batch_service.py
@@ -112,9 +112,10 @@
     async def submit(
         self, header: BatchHeader, items: Iterable[BatchItem], retry_after_seconds: float
     ) -> Accepted | Refused | Undecided:
-        """Accept a batch; taken once however often and wherever it is sent."""
-        if not self._replica.is_loaded:
-            return Refused("copy_not_loaded", retry_after_seconds)
+        """Accept a batch; taken once however often and wherever it is sent.
+
+        Needs no copy of the log: the same records again change nothing.
+        """
         if header.batch_id in self._ledger.batches:
             return Accepted()
         records = records_of_batch(header, items)
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -10,7 +10,7 @@
 import httpx
 import pytest
 from worksramp_platform.callers import CallersApi
-from worksramp_platform.documents import StoreRecords
+from worksramp_platform.documents import StoreRecords, decode_table
 
 from worksramp.coordination.shared_log import KeyedRecord
 from worksramp.edge.asgi import Message, Receive, Scope, Send
@@ -256,6 +256,20 @@
     play(work)
 
 
+def test_a_node_without_a_copy_of_the_log_takes_a_batch_all_the_same() -> None:
+    async def main() -> None:
+        configure_logs("error")
+        async with anyio.create_task_group() as group:
+            source = random.Random(1)
+            found = Deployment(LogStore(source, group), BatchFleet(source, group))
+            found.node.table.current = decode_table(json.dumps(CONFIGURATION).encode())
+            answer = await found.client().post("/drafts/x", headers=HEADERS, json=lot("i1"))
+            assert answer.status_code == 202
+            assert found.store.newest_value(RECORDS.batches, "b/b1") is not None
+
+    anyio.run(main)
+
+
 def test_a_stopping_node_closes_connections_and_is_not_ready() -> None:
     async def work(found: Deployment) -> None:
         assert (await found.client(8002).get("/api/readyz")).status_code == 200
