--- a/src/worksramp/edge/metrics.py
+++ b/src/worksramp/edge/metrics.py
@@ -23,10 +23,6 @@
         self.request_seconds = self._histogram(
             "request_seconds", "From reading a live request to its answer", REQUEST_BUCKETS, "kind"
         )
-        self.batch_calls = self._counter("batch_calls", "Calls about batches", "call", "outcome")
-        self.batch_call_seconds = self._histogram(
-            "batch_call_seconds", "Time of calls about batches", CALL_BUCKETS, "call"
-        )
         self.item_runs = self._counter("item_runs", "Runs of items at workers", "outcome")
         self.item_seconds = self._histogram(
             "item_seconds", "Age of a batch at the listing of an item", ITEM_BUCKETS
--- a/src/worksramp/edge/settings.py
+++ b/src/worksramp/edge/settings.py
@@ -16,34 +16,25 @@
 
     Attributes:
         configuration_apply: an accepted configuration is in force after this.
-        drain: a leaving worker gets no new work after this.
         grace: a stopped process is killed after this.
         lease: two machines must not order one worker in turn within this.
         settle: an accepted batch or result is known everywhere after this.
         status: results are kept for this long.
-        cancel: items of an ended batch reach no worker after this.
         acknowledge: a call of a batch is answered within this.
     """
 
     configuration_apply: float = 2.0
-    drain: float = 2.0
     grace: float = 8.0
     lease: float = 3.0
     settle: float = 1.0
     status: float = 120.0
-    cancel: float = 3.0
     acknowledge: float = 4.0
 
 
 class StoreSettings(msgspec.Struct, frozen=True):
-    """The platform's store.
-
-    Attributes:
-        num_partitions: partitions that one topic may have.
-    """
+    """The platform's store, and what one record and one call may hold."""
 
     address: str
-    num_partitions: int = 1
     max_record_bytes: int = 262_144
     max_call_bytes: int = 2_097_152
 
@@ -120,7 +111,6 @@
             raise SettingsError(file, f"bounds.{name}", f"must be greater than 0 and finite, is {value}")
     for path, number in (
         ("max_loading", settings.max_loading),
-        ("store.num_partitions", settings.store.num_partitions),
         ("store.max_record_bytes", settings.store.max_record_bytes),
         ("store.max_call_bytes", settings.store.max_call_bytes),
     ):
--- a/tests/unit/test_edge_settings.py
+++ b/tests/unit/test_edge_settings.py
@@ -43,7 +43,7 @@
         ('listen = "127.0.0.1:8000"', 'listen = "here:8000"', "listen"),
         ('ready_listen = "127.0.0.1:8001"', 'ready_listen = "127.0.0.1:0"', "ready_listen"),
         ('address = "127.0.0.1:1"', 'address = "127.0.0.1"', "store.address"),
-        ('address = "127.0.0.1:1"', 'address = "127.0.0.1:1"\nnum_partitions = 0', "store.num_partitions"),
+        ('address = "127.0.0.1:1"', 'address = "127.0.0.1:1"\nmax_call_bytes = 0', "store.max_call_bytes"),
         ("grace = 8", "grace = nan", "bounds.grace"),
         ("grace = 8", "lease = -1", "bounds.lease"),
         ("grace = 8", 'grace = "long"', "bounds.grace"),
