--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -84,7 +84,7 @@
             found.configure()
             found.add_worker()
         group.start_soon(found.node.run)
-        with anyio.move_on_after(5):
+        with anyio.fail_after(30):
             while is_configured and not found.node.is_ready:
                 await anyio.sleep(0.01)
         yield found
