--- a/src/worksramp/edge/settings.py
+++ b/src/worksramp/edge/settings.py
@@ -46,7 +46,7 @@
         listen: ``ip:port`` for callers.
         ready_listen: ``ip:port`` where readiness is asked; empty for that of callers.
         metrics_listen: ``ip:port`` for figures; empty for none.
-        max_loading: workers that take new weights at the same time.
+        max_loading: workers that take new weights at the same time, None for a share of the fleet.
     """
 
     node_id: str
@@ -55,7 +55,7 @@
     store: StoreSettings
     ready_listen: str = ""
     metrics_listen: str = ""
-    max_loading: int = 2
+    max_loading: int | None = None
     log_level: str = "info"
     bounds: EdgeBounds = EdgeBounds()
 
@@ -114,7 +114,7 @@
         ("store.max_record_bytes", settings.store.max_record_bytes),
         ("store.max_call_bytes", settings.store.max_call_bytes),
     ):
-        if number <= 0:
+        if number is not None and number <= 0:
             raise SettingsError(file, path, f"must be greater than 0, is {number}")
     if settings.log_level not in LEVELS:
         raise SettingsError(file, "log_level", f"must be one of {', '.join(LEVELS)}")
--- a/src/worksramp/edge/shard.py
+++ b/src/worksramp/edge/shard.py
@@ -65,7 +65,7 @@
     port: WorkerPort
     table: TableSource
     named_versions: dict[str, int]
-    max_loading: int
+    max_loading: int | None
     status_seconds: float
     may_own: Callable[[], bool]
     metrics: NodeMetrics
--- a/src/worksramp/rollout/batch_owner.py
+++ b/src/worksramp/rollout/batch_owner.py
@@ -85,8 +85,6 @@
         self._texts.checkpoint(min_new_pieces=1)
         self.wake()
 
-    # What the mover of versions asks.
-
     # Batches.
 
     def _take_batches(self) -> None:
@@ -106,6 +104,7 @@
 
     def _open_batch(self, batch_id: str, batch: Batch, route: Route) -> None:
         self._seen_batches.add(batch_id)
+        self.items.note_step(batch.header.model, len(batch.header.item_ids))
         self._next_positions[batch_id] = batch.num_results
         num_reused = 0
         for index, item_id in enumerate(batch.header.item_ids):
--- a/src/worksramp/rollout/open_items.py
+++ b/src/worksramp/rollout/open_items.py
@@ -1,13 +1,20 @@
 """Open items of an owner, and the views of them that decisions are made from."""
 
+from collections import deque
 from collections.abc import Iterable
 
+import anyio
+
 from worksramp.rollout.batch_schedule import Place, WaitingItem
 from worksramp.rollout.item_work import ItemKey, ItemWork
 from worksramp.rollout.owner_context import OwnerContext
 from worksramp.rollout.pace import PaceTracker
+from worksramp.routing.fleet_view import FleetView, ModelWork
 from worksramp.routing.workers import WorkerState
 
+#: Steps whose size says how large the next may be.
+NUM_REMEMBERED_STEPS = 3
+
 
 class OpenItems:
     """All items of an owner's batches that are not listed yet.
@@ -21,6 +28,7 @@
         self._pace = pace
         self.works: dict[ItemKey, ItemWork] = {}
         self.loading: dict[str, str] = {}
+        self._step_sizes: dict[str, deque[int]] = {}
 
     def of_batch(self, batch_id: str) -> list[ItemWork]:
         """Return the open items of a batch."""
@@ -40,25 +48,35 @@
         spec = None if table is None else table.services.get(work.route.parts[0].service)
         return spec.tokens_per_event if spec else 1
 
-    def num_running(self, worker_id: str, model: str) -> int:
-        """Return the runs of a model at a worker."""
-        return sum(
-            1
-            for work in self.works.values()
-            if work.run is not None and work.run.worker_id == worker_id and work.model == model
-        )
+    def note_step(self, model: str, num_items: int) -> None:
+        """Take in that a batch with so many items has come."""
+        self._step_sizes.setdefault(model, deque(maxlen=NUM_REMEMBERED_STEPS)).append(num_items)
 
-    def num_waiting(self, model: str) -> int:
-        """Return the items of a model that wait for a place."""
-        return sum(1 for work in self.works.values() if work.run is None and work.model == model)
-
-    def min_version(self, model: str) -> int:
-        """Return the oldest version that any open item may use, 0 when none is open."""
-        return max((work.min_version for work in self.works.values() if work.model == model), default=0)
+    def view(self) -> FleetView:
+        """Return what the fleet is at now."""
+        works: dict[str, list[ItemWork]] = {model: [] for model in self._step_sizes}
+        num_runs: dict[tuple[str, str], int] = {}
+        num_taken_slots: dict[str, int] = {}
+        for work in self.works.values():
+            works.setdefault(work.model, []).append(work)
+            if work.run is not None:
+                worker_id = work.run.worker_id
+                num_runs[worker_id, work.model] = num_runs.get((worker_id, work.model), 0) + 1
+                num_taken_slots[worker_id] = num_taken_slots.get(worker_id, 0) + 1
+        return FleetView(
+            {model: self._model_work(model, of_model) for model, of_model in works.items()},
+            num_runs,
+            num_taken_slots,
+            self._pace.slow_workers(anyio.current_time()),
+        )
 
-    def has_one_version_work(self, model: str) -> bool:
-        """Return whether any open item needs one version for all its text."""
-        return any(work.route.needs_one_version for work in self.works.values() if work.model == model)
+    def _model_work(self, model: str, works: list[ItemWork]) -> ModelWork:
+        return ModelWork(
+            num_waiting=sum(1 for work in works if work.run is None),
+            min_version=max((work.min_version for work in works), default=0),
+            has_one_version_work=any(work.route.needs_one_version for work in works),
+            num_step_items=max(len(works), *self._step_sizes.get(model, ()), 0),
+        )
 
     def waiting_items(self, works: Iterable[ItemWork], now: float) -> list[WaitingItem]:
         """Return items as the scheduler sees them; those that must wait, or have no route, are left out."""
--- a/src/worksramp/rollout/pace.py
+++ b/src/worksramp/rollout/pace.py
@@ -49,6 +49,18 @@
         paces = [pace for pace in known if pace is not None]
         return statistics.median_low(paces) if paces else None
 
+    def slow_workers(self, now: float) -> frozenset[str]:
+        """Return the workers that are far slower than the typical one."""
+        typical = self.typical_seconds(now)
+        if typical is None:
+            return frozenset()
+        paces = {worker_id: self.seconds_per_event(worker_id, now) for worker_id in list(self._paces)}
+        return frozenset(
+            worker_id
+            for worker_id, pace in paces.items()
+            if pace is not None and pace > SLOW_FACTOR * typical
+        )
+
     def is_slow(self, worker_id: str, now: float) -> bool:
         """Return whether a worker is far slower than the typical one."""
         own = self.seconds_per_event(worker_id, now)
--- a/src/worksramp/weights/version_mover.py
+++ b/src/worksramp/weights/version_mover.py
@@ -2,12 +2,12 @@
 
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
-from typing import Protocol
 
 import anyio
 import anyio.abc
 import structlog
 
+from worksramp.routing.fleet_view import FleetView, FleetWork, ModelWork
 from worksramp.routing.table import RouteTable
 from worksramp.routing.worker_port import (
     OrderHeldAlready,
@@ -20,7 +20,8 @@
     WorkerReport,
 )
 from worksramp.routing.workers import WorkerDirectory, WorkerState
-from worksramp.weights.version_moves import ModelNeed, Move, WorkerVersion, decide_moves
+from worksramp.weights.model_homes import HomeCandidate, ModelDemand, place_models
+from worksramp.weights.version_moves import ModelNeed, Move, WorkerVersion, decide_moves, max_loading_of
 
 TICK_SECONDS = 0.05
 FIRST_LOOK_SECONDS = 0.85
@@ -31,24 +32,6 @@
 logger = structlog.get_logger()
 
 
-class FleetWork(Protocol):
-    """What the mover asks of whoever gives work to the fleet."""
-
-    loading: dict[str, str]
-
-    def num_running(self, worker_id: str, model: str) -> int:
-        """Return the runs of a model at a worker."""
-
-    def num_waiting(self, model: str) -> int:
-        """Return the items of a model that wait for a place."""
-
-    def min_version(self, model: str) -> int:
-        """Return the oldest version that any open item may use."""
-
-    def has_one_version_work(self, model: str) -> bool:
-        """Return whether any open item needs one version for all its text."""
-
-
 @dataclass(frozen=True, slots=True)
 class MoverContext:
     """What the mover works with.
@@ -60,6 +43,7 @@
         announce_order: returns once the log says that an order is about to be given.
         holder: name of this machine.
         fence: epoch of the lease.
+        max_loading: workers that load at the same time, None for a share of the fleet.
     """
 
     directory: WorkerDirectory
@@ -72,7 +56,7 @@
     announce_order: Callable[[], Awaitable[None]]
     holder: str
     fence: int
-    max_loading: int
+    max_loading: int | None
 
 
 @dataclass(slots=True)
@@ -81,6 +65,7 @@
 
     context: MoverContext
     _pause_until: dict[str, float] = field(default_factory=dict)
+    _homes: dict[str, frozenset[str]] = field(default_factory=dict)
 
     async def run(self) -> None:
         """Give orders until cancelled."""
@@ -106,7 +91,8 @@
 
     def _order_what_is_due(self, group: anyio.abc.TaskGroup) -> None:
         work = self.context.work
-        for move in decide_moves(self._needs(), len(work.loading), self.context.max_loading):
+        max_loading = self.context.max_loading or max_loading_of(len(self._fleet()))
+        for move in decide_moves(self._needs(), len(work.loading), max_loading):
             work.loading[move.worker_id] = move.model
             group.start_soon(self._carry_out, move)
 
@@ -114,33 +100,65 @@
         table = self.context.table()
         if table is None:
             return []
+        view = self.context.work.view()
         return [
-            self._need(service, model, self.context.named_versions[model])
+            need
             for service, spec in table.services.items()
-            for model in spec.models
-            if model in self.context.named_versions
+            if spec.models
+            for need in self._needs_of_service(service, spec.models, view)
         ]
 
-    def _need(self, service: str, model: str, named_version: int) -> ModelNeed:
-        work = self.context.work
-        now = anyio.current_time()
-        workers = tuple(
-            WorkerVersion(
-                state.entry.worker_id,
-                state.versions.get(model, 0),
-                work.num_running(state.entry.worker_id, model),
-                state.entry.worker_id in work.loading
-                or self._pause_until.get(state.entry.worker_id, now) > now,
+    def _needs_of_service(self, service: str, models: tuple[str, ...], view: FleetView) -> list[ModelNeed]:
+        states = self.context.directory.usable(service)
+        candidates = [
+            HomeCandidate(
+                state.entry.worker_id, state.entry.num_slots, state.entry.worker_id in view.slow_workers
             )
-            for state in self.context.directory.usable(service)
+            for state in states
+        ]
+        homes = place_models(
+            [ModelDemand(model, view.models.get(model, ModelWork()).num_step_items) for model in models],
+            candidates,
         )
+        self._note_homes(homes)
+        return [
+            self._need(model, homes[model], states, view)
+            for model in models
+            if model in self.context.named_versions
+        ]
+
+    def _note_homes(self, homes: dict[str, frozenset[str]]) -> None:
+        for model, worker_ids in homes.items():
+            if worker_ids != self._homes.get(model):
+                self._homes[model] = worker_ids
+                logger.info("homes_changed", model=model, workers=",".join(sorted(worker_ids)))
+
+    def _need(
+        self, model: str, homes: frozenset[str], states: list[WorkerState], view: FleetView
+    ) -> ModelNeed:
+        work = view.models.get(model, ModelWork())
         return ModelNeed(
             model,
-            named_version,
-            work.min_version(model),
-            work.num_waiting(model),
-            work.has_one_version_work(model),
-            workers,
+            self.context.named_versions[model],
+            work.min_version,
+            work.num_waiting,
+            work.has_one_version_work,
+            tuple(self._worker(state, model, view) for state in states),
+            homes,
+        )
+
+    def _worker(self, state: WorkerState, model: str, view: FleetView) -> WorkerVersion:
+        worker_id = state.entry.worker_id
+        loading = self.context.work.loading
+        now = anyio.current_time()
+        return WorkerVersion(
+            worker_id,
+            state.versions.get(model, 0),
+            view.num_runs.get((worker_id, model), 0),
+            worker_id in loading or self._pause_until.get(worker_id, now) > now,
+            max(0, state.entry.num_slots - view.num_taken_slots.get(worker_id, 0)),
+            worker_id in view.slow_workers,
+            loading.get(worker_id) == model,
         )
 
     async def _carry_out(self, move: Move) -> None:
--- a/tests/unit/test_batch_decisions.py
+++ b/tests/unit/test_batch_decisions.py
@@ -11,7 +11,8 @@
 )
 from worksramp.rollout.batch_schedule import Place, WaitingItem, assign, pace_tier
 from worksramp.rollout.pace import PaceTracker
-from worksramp.weights.version_moves import ModelNeed, Move, WorkerVersion, decide_moves
+from worksramp.weights.model_homes import HomeCandidate, ModelDemand, place_models
+from worksramp.weights.version_moves import ModelNeed, Move, WorkerVersion, decide_moves, max_loading_of
 
 TIMES = LeaseTimes(expiry=1.2, renewal=0.3, order_validity=0.9, order_guard=4.2, max_replica_age=0.8)
 
@@ -100,6 +101,74 @@
     assert decide_moves([need(WorkerVersion("w", 1, 0, is_loading=True), min_version=2)], 0, 2) == []
 
 
+def fleet(num_workers: int, version: int = 1, num_slots: int = 8) -> tuple[WorkerVersion, ...]:
+    return tuple(
+        WorkerVersion(f"w{number}", version, 0, False, num_free_slots=num_slots)
+        for number in range(num_workers)
+    )
+
+
+def three_needs(num_items: int, **changes: object) -> list[ModelNeed]:
+    workers = fleet(24)
+    homes = place_models(
+        [ModelDemand(model, num_items) for model in "abc"],
+        [HomeCandidate(worker.worker_id, 8) for worker in workers],
+    )
+    values = {"named_version": 3, "min_version": 2, "num_waiting": num_items, "has_one_version_runs": False}
+    return [
+        ModelNeed(model=model, workers=workers, homes=homes[model], **(values | changes))  # type: ignore[arg-type]
+        for model in "abc"
+    ]
+
+
+def test_three_models_on_24_workers_load_at_their_homes_in_turn_as_many_at_once_as_the_fleet_bears() -> None:
+    needs = three_needs(48)
+    assert [len(need.homes or ()) for need in needs] == [8, 8, 8]
+    assert len(frozenset.union(*[need.homes or frozenset() for need in needs])) == 24
+    moves = decide_moves(needs, 0, max_loading_of(24))
+    assert len(moves) == len({move.worker_id for move in moves}) == 10
+    assert sorted(move.model for move in moves) == ["a"] * 4 + ["b"] * 3 + ["c"] * 3
+    assert all(
+        move.worker_id in (need.homes or ()) for move in moves for need in needs if need.model == move.model
+    )
+
+
+def test_small_fleets_load_two_at_once_and_every_worker_is_a_home_where_a_step_fills_them() -> None:
+    assert [max_loading_of(number) for number in (3, 5, 6, 24)] == [2, 2, 2, 10]
+    homes = place_models(
+        [ModelDemand(model, 56) for model in "ab"], [HomeCandidate(f"w{number}", 16) for number in range(5)]
+    )
+    assert [len(homes[model]) for model in "ab"] == [5, 5]
+
+
+def test_homes_are_the_same_in_any_order_and_one_lost_worker_moves_few() -> None:
+    candidates = [HomeCandidate(f"w{number}", 8) for number in range(24)]
+    demands = [ModelDemand(model, 48) for model in "abc"]
+    homes = place_models(demands, candidates)
+    assert place_models(demands[::-1], candidates[::-1]) == homes
+    after = place_models(demands, candidates[1:])
+    assert sum(len(after[model] - homes[model]) for model in "abc") <= 4
+    slow = [HomeCandidate("w0", 8, is_slow=True), *candidates[1:]]
+    assert place_models(demands, slow) == after
+
+
+def test_helpers_load_only_for_what_finds_no_slot_in_sight_and_never_a_slow_one() -> None:
+    workers = fleet(4)
+    slow_helper = WorkerVersion("slow", 1, 0, False, num_free_slots=8, is_slow=True)
+
+    def moved(num_waiting: int, *more: WorkerVersion) -> list[str]:
+        need = ModelNeed(
+            "m", 3, 2, num_waiting, False, (slow_helper, *workers, *more), frozenset(["w0", "w1"])
+        )
+        return [move.worker_id for move in decide_moves([need], 0, 9)]
+
+    assert moved(16) == ["w0", "w1"]
+    assert moved(17) == ["w0", "w1", "w2"]
+    loading = WorkerVersion("w9", 1, 0, True, num_free_slots=8, is_loading_this=True)
+    assert moved(17, loading) == ["w0", "w1"]
+    assert moved(100) == ["w0", "w1", "w2", "w3"]
+
+
 def view(owner: OwnerRecord | None, changed_at: float = 0.0, **changes: object) -> LeaseView:
     values = {"is_own_machine": False, "replica_age": 0.1, "may_own": True, "jitter": 0.2}
     return LeaseView(owner=owner, owner_changed_at=changed_at, **(values | changes))  # type: ignore[arg-type]
