Workers that fail part of what they get are used last, and their failures are not the items'

An item is given up after failures at as many different workers as attempts are allowed, or twice as many in all (the users allow up to three times). Live requests: an attempt that is beaten by its backup counts as slow as it was beaten, so a hanging worker no longer looks fast.

--- a/src/worksramp/rollout/batch_owner.py
+++ b/src/worksramp/rollout/batch_owner.py
@@ -37,6 +37,7 @@
 from worksramp.rollout.result_writer import ResultWriter
 from worksramp.rollout.run_watch import RunWatch
 from worksramp.rollout.text_keeper import TextKeeper
+from worksramp.routing.failure_tracker import FailureTracker
 from worksramp.routing.table import Route
 
 TICK_SECONDS = 0.05
@@ -54,8 +55,9 @@
     def __init__(self, context: OwnerContext) -> None:
         self._context = context
         self._pace = PaceTracker()
-        self.items = OpenItems(context, self._pace)
-        self._watch = RunWatch(self.items, self._pace)
+        self._failures = FailureTracker()
+        self.items = OpenItems(context, self._pace, self._failures)
+        self._watch = RunWatch(self.items, self._pace, self._failures)
         self._texts = TextKeeper(context, self.items)
         self._results = ResultWriter(context.values.store, context.writer, context.max_record_bytes)
         self._next_positions: dict[str, int] = {}
@@ -254,6 +256,8 @@
 
     def _take_outcome(self, work: ItemWork, run: Run, outcome: RunOutcome, num_new: int) -> None:
         now = anyio.current_time()
+        if isinstance(outcome, RunFinished | RunFailed | RunBroken) and not run.is_moving:
+            self._failures.observe(run.worker_id, not isinstance(outcome, RunFinished), now)
         if isinstance(outcome, RunFinished):
             self._log_finished(work, run, now)
             self._list(work, is_completed=True)
@@ -273,10 +277,11 @@
             self._list(work, is_completed=False, reason="never_possible")
         elif isinstance(outcome, RunFailed):
             work.text.num_failures += 1
+            work.failed_at.add(run.worker_id)
             work.num_checkpointed = -1
             work.avoid(run.worker_id, now + AVOID_AFTER_BREAK_SECONDS)
             work.wait_until = now + FAILURE_PAUSE_SECONDS
-            if work.text.num_failures >= work.route.max_attempts:
+            if work.has_failed_for_good():
                 self._list(work, is_completed=False, reason="failed")
         elif isinstance(outcome, RunNotBegun):
             self._note_refusal(work, run, outcome, now)
@@ -310,6 +315,7 @@
         state = self._context.directory.get(run.worker_id)
         work.avoid(run.worker_id, now + AVOID_AFTER_REFUSAL_SECONDS)
         if state is not None and outcome.reason.startswith("unreachable"):
+            self._failures.observe(run.worker_id, is_failure=True, now=now)
             state.avoid_until = now + AVOID_AFTER_BREAK_SECONDS
 
     def _note_version(self, worker_id: str, model: str, version: int) -> None:
--- a/src/worksramp/rollout/batch_schedule.py
+++ b/src/worksramp/rollout/batch_schedule.py
@@ -44,6 +44,7 @@
         loading: models whose weights are on their way; they take no new run.
         seconds_per_event: measured, None before the first.
         is_slow: far slower than the others; used last.
+        is_suspect: fails part of what it is given; used after all others.
     """
 
     worker_id: str
@@ -55,6 +56,7 @@
     loading: frozenset[str] = frozenset()
     seconds_per_event: float | None = None
     is_slow: bool = False
+    is_suspect: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -116,6 +118,7 @@
     return min(
         candidates,
         key=lambda room: (
+            room.place.is_suspect,
             room.place.is_slow,
             pace_tier(room.place.seconds_per_event, fastest),
             room.num_running / room.place.num_slots,
--- a/src/worksramp/rollout/item_work.py
+++ b/src/worksramp/rollout/item_work.py
@@ -49,6 +49,7 @@
     Attributes:
         avoided: workers it must not go to, each until a time.
         num_checkpointed: pieces of the text that are in the log.
+        failed_at: workers that ended a run with an error of their own.
     """
 
     key: ItemKey
@@ -61,10 +62,19 @@
     run: Run | None = None
     avoided: dict[str, float] = field(default_factory=dict)
     wait_until: float = float("-inf")
-    num_impossible: int = 0
+    failed_at: set[str] = field(default_factory=set)
     num_checkpointed: int = 0
     is_done: bool = False
 
+    def has_failed_for_good(self) -> bool:
+        """Return whether the item, rather than a worker, is to blame for its failures.
+
+        A worker may fail part of all that it is given, so that failures at different workers count; at the
+        same ones only twice as many. Three times as many would be more than the users allow.
+        """
+        max_attempts = self.route.max_attempts
+        return len(self.failed_at) >= max_attempts or self.text.num_failures >= 2 * max_attempts
+
     def avoid(self, worker_id: str, until: float) -> None:
         """Keep the item from a worker for a while."""
         self.avoided[worker_id] = until
--- a/src/worksramp/rollout/open_items.py
+++ b/src/worksramp/rollout/open_items.py
@@ -9,6 +9,7 @@
 from worksramp.rollout.item_work import ItemKey, ItemWork
 from worksramp.rollout.owner_context import OwnerContext
 from worksramp.rollout.pace import PaceTracker
+from worksramp.routing.failure_tracker import FailureTracker
 from worksramp.routing.fleet_view import FleetView, ModelWork
 from worksramp.routing.workers import WorkerState
 
@@ -23,9 +24,10 @@
         loading: model whose weights are on their way, by worker.
     """
 
-    def __init__(self, context: OwnerContext, pace: PaceTracker) -> None:
+    def __init__(self, context: OwnerContext, pace: PaceTracker, failures: FailureTracker) -> None:
         self._context = context
         self._pace = pace
+        self._failures = failures
         self.works: dict[ItemKey, ItemWork] = {}
         self.loading: dict[str, str] = {}
         self._step_sizes: dict[str, deque[int]] = {}
@@ -54,6 +56,7 @@
 
     def view(self) -> FleetView:
         """Return what the fleet is at now."""
+        now = anyio.current_time()
         works: dict[str, list[ItemWork]] = {model: [] for model in self._step_sizes}
         num_runs: dict[tuple[str, str], int] = {}
         num_taken_slots: dict[str, int] = {}
@@ -67,7 +70,7 @@
             {model: self._model_work(model, of_model) for model, of_model in works.items()},
             num_runs,
             num_taken_slots,
-            self._pace.slow_workers(anyio.current_time()),
+            self._pace.slow_workers(now) | self._failures.suspects(now),
         )
 
     def _model_work(self, model: str, works: list[ItemWork]) -> ModelWork:
@@ -119,14 +122,23 @@
         table = self._context.table.current
         if table is None:
             return []
+        slow, suspects = self._pace.slow_workers(now), self._failures.suspects(now)
         return [
-            self._place(state, counts, tokens, now)
+            self._place(state, counts, tokens, slow, suspects, now)
             for service in table.services
             for state in self._context.directory.usable(service)
             if state.avoid_until <= now
         ]
 
-    def _place(self, state: WorkerState, counts: dict[str, int], tokens: dict[str, int], now: float) -> Place:
+    def _place(
+        self,
+        state: WorkerState,
+        counts: dict[str, int],
+        tokens: dict[str, int],
+        slow: frozenset[str],
+        suspects: frozenset[str],
+        now: float,
+    ) -> Place:
         worker_id = state.entry.worker_id
         loading = self.loading.get(worker_id)
         return Place(
@@ -138,5 +150,6 @@
             versions=state.versions,
             loading=frozenset() if loading is None else frozenset([loading]),
             seconds_per_event=self._pace.seconds_per_event(worker_id, now),
-            is_slow=self._pace.is_slow(worker_id, now),
+            is_slow=worker_id in slow,
+            is_suspect=worker_id in suspects,
         )
--- a/src/worksramp/rollout/run_watch.py
+++ b/src/worksramp/rollout/run_watch.py
@@ -7,6 +7,7 @@
 from worksramp.rollout.item_work import ItemWork, Run
 from worksramp.rollout.open_items import OpenItems
 from worksramp.rollout.pace import PaceTracker
+from worksramp.routing.failure_tracker import FailureTracker
 
 STUCK_FACTOR = 10.0
 MIN_STUCK_SECONDS = 0.7
@@ -27,9 +28,10 @@
 class RunWatch:
     """Closes runs whose items get on sooner elsewhere; they wait for a place again with their text."""
 
-    def __init__(self, items: OpenItems, pace: PaceTracker) -> None:
+    def __init__(self, items: OpenItems, pace: PaceTracker, failures: FailureTracker) -> None:
         self._items = items
         self._pace = pace
+        self._failures = failures
 
     def look(self) -> None:
         """Look at all runs once."""
@@ -42,6 +44,7 @@
             if run is None or run.is_moving or run.worker_id in self._items.loading:
                 continue
             if self._is_stuck(run, typical, now):
+                self._failures.observe(run.worker_id, is_failure=True, now=now)
                 self._move(work, run, "stuck", now)
             elif num_moves < MAX_MOVES_A_TICK and self._gain_of_move(work, run, now) > MIN_MOVE_GAIN_SECONDS:
                 num_moves += 1
--- a/src/worksramp/routing/attempts.py
+++ b/src/worksramp/routing/attempts.py
@@ -117,10 +117,19 @@
     def note_good(self, worker: WorkerState, seconds: float) -> None:
         """Take in how long a whole answer took."""
         worker.num_recent_failures = 0
+        self.note_latency(worker, seconds)
+
+    def note_latency(self, worker: WorkerState, seconds: float) -> None:
+        """Take in how long a request took at the least."""
         before = worker.latency_seconds
         change = 0.0 if before is None else LATENCY_SMOOTHING * (seconds - before)
         worker.latency_seconds = seconds if before is None else before + change
 
+    def note_beaten(self, worker: WorkerState, seconds: float) -> None:
+        """Take in that another worker answered first, when this one had not after so long."""
+        if worker.latency_seconds is None or worker.latency_seconds < seconds:
+            self.note_latency(worker, seconds)
+
     def note_failure(self, request: LiveRequest, worker: WorkerState, course: Course, reason: str) -> None:
         """Take in that an attempt came to nothing."""
         worker.num_recent_failures += 1
--- a/src/worksramp/routing/fleet_view.py
+++ b/src/worksramp/routing/fleet_view.py
@@ -29,7 +29,7 @@
         models: open work by model.
         num_runs: runs by worker and model.
         num_taken_slots: runs of all models by worker.
-        slow_workers: workers far slower than the others now.
+        slow_workers: workers far slower than the others now, or that fail part of what they are given.
     """
 
     models: dict[str, ModelWork]
--- a/src/worksramp/routing/forward.py
+++ b/src/worksramp/routing/forward.py
@@ -155,21 +155,29 @@
         """Send to one worker and read the whole answer; None when another attempt is needed."""
         started = anyio.current_time()
         worker.num_in_flight += 1
+        is_beaten = True
         try:
             with anyio.move_on_after(max(0.0, ends_at - started)):
                 async with self._port.send(worker.entry, to_worker(request, ends_at)) as answer:
                     if self._choice.take_refusal(answer, worker, course):
+                        is_beaten = False
                         return None
                     body = b"".join([chunk async for chunk in answer.body])
                     self._choice.note_good(worker, anyio.current_time() - started)
+                    is_beaten = False
                     return WholeAnswer(answer.status, answer.headers, body)
             course.may_have_run = True
             course.last_reason = "deadline"
         except WorkerUnreachableError as error:
+            is_beaten = False
             self._choice.note_failure(request, worker, course, f"unreachable: {error}")
         except WorkerAnswerBrokenError as error:
+            is_beaten = False
             course.may_have_run = True
             self._choice.note_failure(request, worker, course, f"broken: {error}")
         finally:
+            if is_beaten:
+                # Cancelled, or out of time: without this a worker that hangs would look as fast as before.
+                self._choice.note_beaten(worker, anyio.current_time() - started)
             worker.num_in_flight -= 1
         return None
--- a/src/worksramp_emulator/batch_fleet.py
+++ b/src/worksramp_emulator/batch_fleet.py
@@ -69,6 +69,7 @@
         is_dark: it answers nothing and its runs stand still.
         late_orders: share of orders that are not answered and carried out later.
         break_share: share of events at which a run breaks off.
+        fail_share: share of runs that it ends with an error of its own.
     """
 
     entry: WorkerEntry
@@ -78,6 +79,7 @@
     is_gone: bool = False
     late_orders: float = 0.0
     break_share: float = 0.0
+    fail_share: float = 0.0
     failing_items: set[str] = field(default_factory=set)
     impossible_items: set[str] = field(default_factory=set)
     num_running: int = 0
@@ -162,7 +164,8 @@
         if request.request_id in target.impossible_items:
             yield self._answer(422, target, request)
             return
-        if request.request_id in target.failing_items:
+        has_failed = target.fail_share > 0 and self._fleet.source.random() < target.fail_share
+        if has_failed or request.request_id in target.failing_items:
             yield self._answer(500, target, request)
             return
         target.num_running += 1
--- a/tests/features/batches.feature
+++ b/tests/features/batches.feature
@@ -49,6 +49,14 @@
       | 5    |
       | 6    |
 
+  Scenario: workers that fail most of their runs are used last, and their failures are not the items'
+    Given a deployment
+    And 2 workers fail most of their runs for 6 s at 1 seconds
+    When a trainer asks for 6 steps
+    Then every step has its groups within 4 seconds
+    And no item is given up
+    And nothing is violated
+
   Scenario: all text of an item from one version
     Given a deployment whose route needs one version
     And the owner is killed at 2 seconds
--- a/tests/unit/test_batch_decisions.py
+++ b/tests/unit/test_batch_decisions.py
@@ -9,8 +9,13 @@
     decide_claim,
     may_order,
 )
+from worksramp.rollout.batch_run import TextBuilder
 from worksramp.rollout.batch_schedule import Place, WaitingItem, assign, pace_tier
+from worksramp.rollout.batches import BatchItem
+from worksramp.rollout.item_work import ItemWork
 from worksramp.rollout.pace import PaceTracker
+from worksramp.routing.failure_tracker import FailureTracker
+from worksramp.routing.table import Route, RouteKind, SplitPart
 from worksramp.weights.model_homes import HomeCandidate, ModelDemand, place_models
 from worksramp.weights.version_moves import ModelNeed, Move, WorkerVersion, decide_moves, max_loading_of
 
@@ -173,6 +178,37 @@
     assert moved(100) == ["w0", "w1", "w2", "w3"]
 
 
+def test_a_worker_that_fails_part_of_what_it_gets_is_suspect_until_that_is_old() -> None:
+    failures = FailureTracker()
+    for number in range(8):
+        failures.observe("grey", is_failure=number % 2 == 0, now=number / 10)
+        failures.observe("good", is_failure=False, now=number / 10)
+    failures.observe("unlucky", is_failure=True, now=0.8)
+    assert failures.suspects(0.8) == frozenset(["grey"])
+    assert failures.suspects(8.0) == frozenset()
+
+
+def test_a_suspect_worker_gets_what_finds_no_other_place() -> None:
+    grey, slow = place("grey", is_suspect=True), place("slow", is_slow=True)
+    assert given([item(0), item(1)], [grey, slow]) == {0: "slow", 1: "slow"}
+    assert given([item(0)], [grey, place("slow", is_slow=True, num_running=2)]) == {0: "grey"}
+
+
+def test_failures_at_different_workers_count_and_twice_as_many_at_the_same_ones() -> None:
+    route = Route("r", "h", "/", RouteKind.BATCH, (SplitPart("s", 1.0),), max_attempts=3)
+    batch_item = BatchItem("x", "/", (), b"", 10)
+    work = ItemWork(("b", 0), batch_item, "m", route, 0.0, 1, TextBuilder())
+    for number in range(1, 6):
+        work.text.num_failures = number
+        work.failed_at.add("grey")
+        assert not work.has_failed_for_good()
+    work.text.num_failures = 6
+    assert work.has_failed_for_good()
+    work.text.num_failures = 3
+    work.failed_at |= {"other", "third"}
+    assert work.has_failed_for_good()
+
+
 def view(owner: OwnerRecord | None, changed_at: float = 0.0, **changes: object) -> LeaseView:
     values = {"is_own_machine": False, "replica_age": 0.1, "may_own": True, "jitter": 0.2}
     return LeaseView(owner=owner, owner_changed_at=changed_at, **(values | changes))  # type: ignore[arg-type]
