Machines with little processor time leave the claim of a shard to larger ones

Change: the draw before a claim begins later on a small machine (up to 0.3 s); settings machine.cpu_share and machine.cpu_speed, checked like the others (also num_partitions).

--- a/src/worksramp/coordination/log_lease.py
+++ b/src/worksramp/coordination/log_lease.py
@@ -11,6 +11,10 @@
 
 OWNER_KEY = "owner"
 OWNER_PRODUCER = "owner"
+#: From this much processor time on, machines claim alike.
+LARGE_MACHINE_CORES = 2.0
+SMALL_MACHINE_DELAY_SECONDS = 0.3
+CLAIM_SPREAD_SECONDS = 0.2
 
 
 class OwnerRecord(msgspec.Struct, frozen=True, array_like=True):
@@ -91,6 +95,18 @@
     reason: str
 
 
+def claim_delay_range(num_cores: float) -> tuple[float, float]:
+    """Return the bounds, in seconds, between which a node draws its own share of waiting before it claims.
+
+    Machines with little processor time wait for those with more: an owner runs all items of its shard.
+
+    Args:
+        num_cores: processor time of this machine, in cores.
+    """
+    least = SMALL_MACHINE_DELAY_SECONDS * max(0.0, 1.0 - num_cores / LARGE_MACHINE_CORES)
+    return (least, least + CLAIM_SPREAD_SECONDS)
+
+
 def decide_claim(view: LeaseView, times: LeaseTimes, now: float) -> ClaimLease | LeaveLease:
     """Decide whether a node that does not own the shard claims it."""
     if not view.may_own:
--- a/src/worksramp/edge/node.py
+++ b/src/worksramp/edge/node.py
@@ -105,6 +105,7 @@
                 max_loading=settings.max_loading,
                 status_seconds=bounds.status,
                 metrics=self.metrics,
+                num_cores=settings.machine.num_cores,
                 may_own=lambda: self.is_ready,
                 time_of_day=self.time_of_day,
             )
--- a/src/worksramp/edge/settings.py
+++ b/src/worksramp/edge/settings.py
@@ -10,6 +10,8 @@
 from worksramp.logs import LEVELS
 from worksramp.settings_error import SettingsError
 
+MAX_PARTITIONS = 4096
+
 
 class EdgeBounds(msgspec.Struct, frozen=True):
     """Bounds that the deployment promises or asks for, in seconds. Timers follow from them.
@@ -44,6 +46,23 @@
     num_partitions: int = 1
 
 
+class MachineSettings(msgspec.Struct, frozen=True):
+    """What the machine gives to this process.
+
+    Attributes:
+        cpu_share: share of each core.
+        cpu_speed: how fast a core is, as a multiple of an ordinary one.
+    """
+
+    cpu_share: float = 1.0
+    cpu_speed: float = 2.0
+
+    @property
+    def num_cores(self) -> float:
+        """Processor time in ordinary cores."""
+        return self.cpu_share * self.cpu_speed
+
+
 class EdgeSettings(msgspec.Struct, frozen=True):
     """Everything one edge node is told. Unknown fields are passed over, so that newer files work.
 
@@ -62,6 +81,7 @@
     metrics_listen: str = ""
     max_loading: int | None = None
     log_level: str = "info"
+    machine: MachineSettings = msgspec.field(default_factory=MachineSettings)
     bounds: EdgeBounds = EdgeBounds()
 
 
@@ -114,13 +134,22 @@
         value = getattr(settings.bounds, name)
         if not math.isfinite(value) or value <= 0:
             raise SettingsError(file, f"bounds.{name}", f"must be greater than 0 and finite, is {value}")
+    _check_numbers(file, settings)
+    if settings.log_level not in LEVELS:
+        raise SettingsError(file, "log_level", f"must be one of {', '.join(LEVELS)}")
+
+
+def _check_numbers(file: str, settings: EdgeSettings) -> None:
     for path, number in (
         ("max_loading", settings.max_loading),
         ("store.max_record_bytes", settings.store.max_record_bytes),
         ("store.max_call_bytes", settings.store.max_call_bytes),
         ("store.num_partitions", settings.store.num_partitions),
+        ("machine.cpu_share", settings.machine.cpu_share),
+        ("machine.cpu_speed", settings.machine.cpu_speed),
     ):
-        if number is not None and number <= 0:
-            raise SettingsError(file, path, f"must be greater than 0, is {number}")
-    if settings.log_level not in LEVELS:
-        raise SettingsError(file, "log_level", f"must be one of {', '.join(LEVELS)}")
+        if number is not None and not 0 < number < math.inf:
+            raise SettingsError(file, path, f"must be greater than 0 and finite, is {number}")
+    if settings.store.num_partitions > MAX_PARTITIONS:
+        reason = f"must be {MAX_PARTITIONS} at most, is {settings.store.num_partitions}"
+        raise SettingsError(file, "store.num_partitions", reason)
--- a/src/worksramp/edge/shard.py
+++ b/src/worksramp/edge/shard.py
@@ -16,6 +16,7 @@
     LeaseTimes,
     LeaseView,
     OwnerRecord,
+    claim_delay_range,
     decide_claim,
     may_order,
 )
@@ -38,7 +39,6 @@
 from worksramp.wire import decode, encode
 
 CLAIM_TICK_SECONDS = 0.05
-MAX_JITTER_SECONDS = 0.3
 CLAIM_TRIES = 4
 CLAIM_BARRIER_SECONDS = 2.0
 RELEASE_SECONDS = 1.5
@@ -56,6 +56,7 @@
     Attributes:
         node: name of the machine.
         boot: random text of this start of the process.
+        num_cores: processor time of the machine.
         values: items and texts of batches.
         progress: texts so far of items.
     """
@@ -74,6 +75,7 @@
     named_versions: dict[str, int]
     max_loading: int | None
     status_seconds: float
+    num_cores: float
     may_own: Callable[[], bool]
     metrics: NodeMetrics
     time_of_day: Callable[[], float] = time.time
@@ -99,7 +101,7 @@
         self.replica = KeyedReplica(
             context.log, context.partition, context.poll_seconds, self._take_change, FOLLOWER_GATHER_SECONDS
         )
-        self._jitter = random.uniform(0.0, MAX_JITTER_SECONDS)
+        self._jitter = random.uniform(*claim_delay_range(self.context.num_cores))
 
     @property
     def is_owner(self) -> bool:
--- a/tests/unit/test_batch_decisions.py
+++ b/tests/unit/test_batch_decisions.py
@@ -6,6 +6,7 @@
     LeaseView,
     LeaveLease,
     OwnerRecord,
+    claim_delay_range,
     decide_claim,
     may_order,
 )
@@ -228,6 +229,11 @@
     assert decide_claim(view(OwnerRecord("a", "x", 4), is_own_machine=True), TIMES, 0.0) == ClaimLease(5)
 
 
+def test_small_machines_leave_a_claim_to_large_ones() -> None:
+    assert claim_delay_range(2.15) == (0.0, 0.2)
+    assert claim_delay_range(0.516)[0] > claim_delay_range(2.15)[1]
+
+
 def test_orders_wait_for_a_former_owners_announcement_and_need_a_young_renewal() -> None:
     assert not may_order(now=10.0, former_order_at=6.0, renewed_at=10.0, times=TIMES)
     assert may_order(now=10.3, former_order_at=6.0, renewed_at=10.0, times=TIMES)
--- a/tests/unit/test_edge_settings.py
+++ b/tests/unit/test_edge_settings.py
@@ -49,6 +49,10 @@
         ("grace = 8", 'grace = "long"', "bounds.grace"),
         ('node_id = "n"', 'node_id = "n"\nlog_level = "loud"', "log_level"),
         ('node_id = "n"', 'node_id = "n"\nmax_loading = 0', "max_loading"),
+        ("[store]", "[machine]\ncpu_share = nan\n[store]", "machine.cpu_share"),
+        ("[store]", "[machine]\ncpu_speed = 0\n[store]", "machine.cpu_speed"),
+        ("[store]", "[store]\nnum_partitions = 0", "store.num_partitions"),
+        ("[store]", "[store]\nnum_partitions = 10000000000", "store.num_partitions"),
         ('node_id = "n"', "node_id", "(file)"),
     ],
 )
