A node sends live requests to a usual worker of its own, to others when that one is loaded or far slower

Change: workers in an order of each node's own (hash of both names); the usual one is shared from 0.4 requests a slot on, left for the next while its moving mean is twice as long, and tried again after 4 s.

--- a/src/worksramp/edge/node.py
+++ b/src/worksramp/edge/node.py
@@ -84,7 +84,9 @@
         settings, bounds = self.settings, self.settings.bounds
         poll = poll_seconds(bounds)
         self.log = ObservedLog(self.log, self.metrics)
-        self.forwarder = Forwarder(self.directory, self.port, random.Random(), self._note_request)
+        self.forwarder = Forwarder(
+            self.directory, self.port, random.Random(), self._note_request, settings.node_id
+        )
         self._control = KeyedReplica(self.log, self.records.control, poll, self._take_control)
         self._workers = KeyedReplica(self.log, self.records.workers, poll, self._take_worker)
         values = BatchValues(ValueStore(self.log, self.records.values))
--- a/src/worksramp/routing/attempts.py
+++ b/src/worksramp/routing/attempts.py
@@ -1,6 +1,7 @@
 """What all attempts of live requests share: choice of a worker, and what its answers teach."""
 
 import random
+import zlib
 from dataclasses import dataclass, field
 
 import anyio
@@ -17,6 +18,12 @@
 #: Stands for the latency of a worker that has answered nothing yet: it is tried soon.
 UNKNOWN_LATENCY_SECONDS = 0.01
 MIN_WORKER_SECONDS = 0.001
+#: Requests for each slot of the usual worker from which on others share its load.
+SPREAD_LOAD = 0.4
+#: Lengths of requests differ, and so do moving means of like workers.
+FAR_BETTER_FACTOR = 2.0
+#: A slow worker that has been left alone for this long may have recovered.
+TRY_AGAIN_SECONDS = 4.0
 
 logger = structlog.get_logger()
 
@@ -71,12 +78,18 @@
 class WorkerChoice:
     """Chooses workers for attempts and takes in what came of them."""
 
-    def __init__(self, directory: WorkerDirectory, source: random.Random) -> None:
+    def __init__(self, directory: WorkerDirectory, source: random.Random, node: str = "") -> None:
         self._directory = directory
         self._source = source
+        self._node = node
 
     def choose(self, service: str, course: Course) -> WorkerState | None:
-        """Return the better of two workers drawn at random among the sound ones, None when none is left."""
+        """Return this node's usual worker, or a better one; None when none is left.
+
+        Each node has workers in an order of its own, since connections are kept by pairs of node and worker
+        and new ones are dear. The next one is taken while the usual one is far slower, any one while the
+        usual one is loaded.
+        """
         now = anyio.current_time()
         fresh = [
             worker for worker in self._directory.usable(service) if worker.entry.worker_id not in course.tried
@@ -84,8 +97,21 @@
         sound = [worker for worker in fresh if worker.avoid_until <= now] or fresh
         if not sound:
             return None
-        drawn = self._source.sample(sound, min(2, len(sound)))
-        return min(drawn, key=lambda worker: self._cost(worker, now))
+        usual, *others = sorted(sound, key=self._affinity, reverse=True)
+        if not others:
+            return usual
+        if usual.estimated_load(now, TOLD_LOAD_SECONDS) >= SPREAD_LOAD:
+            drawn = self._source.choice(others)
+            return min((usual, drawn), key=lambda worker: self._cost(worker, now))
+        return others[0] if self._is_far_better(others[0], usual, now) else usual
+
+    def _is_far_better(self, other: WorkerState, usual: WorkerState, now: float) -> bool:
+        if other.latency_seconds is None or now - usual.latency_at > TRY_AGAIN_SECONDS:
+            return False
+        return FAR_BETTER_FACTOR * self._cost(other, now) < self._cost(usual, now)
+
+    def _affinity(self, worker: WorkerState) -> int:
+        return zlib.crc32(f"{self._node}/{worker.entry.worker_id}".encode())
 
     def choose_sound(self, service: str, course: Course) -> WorkerState | None:
         """Return a worker that nothing speaks against, None when none is left."""
@@ -121,6 +147,7 @@
 
     def note_latency(self, worker: WorkerState, seconds: float) -> None:
         """Take in how long a request took at the least."""
+        worker.latency_at = anyio.current_time()
         before = worker.latency_seconds
         change = 0.0 if before is None else LATENCY_SMOOTHING * (seconds - before)
         worker.latency_seconds = seconds if before is None else before + change
--- a/src/worksramp/routing/forward.py
+++ b/src/worksramp/routing/forward.py
@@ -63,10 +63,11 @@
         port: WorkerPort,
         source: random.Random,
         on_outcome: OutcomeObserver | None = None,
+        node: str = "",
     ) -> None:
         self._port = port
         self._on_outcome = on_outcome
-        self._choice = WorkerChoice(directory, source)
+        self._choice = WorkerChoice(directory, source, node)
 
     async def forward(self, request: LiveRequest, route: Route, stack: AsyncExitStack) -> ForwardOutcome:
         """Forward a request and return the final outcome.
--- a/src/worksramp/routing/workers.py
+++ b/src/worksramp/routing/workers.py
@@ -36,7 +36,8 @@
         told_load: requests running and waiting as the worker said last, and when.
         avoid_until: this node sends nothing there before, on its own clock.
         num_recent_failures: broken answers since the last good one.
-        latency_seconds: moving mean of good answers, None before the first.
+        latency_seconds: moving mean of answers, None before the first.
+        latency_at: when that was last taken in.
     """
 
     entry: WorkerEntry
@@ -47,6 +48,7 @@
     avoid_until: float = float("-inf")
     num_recent_failures: int = 0
     latency_seconds: float | None = None
+    latency_at: float = float("-inf")
     versions: dict[str, int] = field(default_factory=dict)
     is_gone: bool = False
 
