--- a/src/worksramp/weights/version_mover.py
+++ b/src/worksramp/weights/version_mover.py
@@ -24,9 +24,10 @@
 from worksramp.weights.version_moves import ModelNeed, Move, WorkerVersion, decide_moves, max_loading_of
 
 TICK_SECONDS = 0.05
-FIRST_LOOK_SECONDS = 0.85
-LOOK_AGAIN_SECONDS = 0.25
-MAX_LOOKS = 12
+FIRST_LOOK_SECONDS = 0.9
+LOOK_AGAIN_SECONDS = 0.1
+#: Steps wait for loads, so an end is looked for often; three seconds in all.
+MAX_LOOKS = 30
 PAUSE_AFTER_FAILURE_SECONDS = 0.5
 
 logger = structlog.get_logger()
