--- a/src/worksramp/coordination/keyed_replica.py
+++ b/src/worksramp/coordination/keyed_replica.py
@@ -71,6 +71,8 @@
         self.gather_seconds = gather_seconds
         self.position: int | None = None
         self.confirmed_at = float("-inf")
+        #: When the store last answered again after it had not.
+        self.regained_at = float("-inf")
 
     @property
     def is_loaded(self) -> bool:
@@ -81,6 +83,10 @@
         """Return seconds since the start of the last poll that found nothing missing."""
         return anyio.current_time() - self.confirmed_at
 
+    def regained_age(self) -> float:
+        """Return seconds since the store answered again after an outage, as this node saw it."""
+        return anyio.current_time() - self.regained_at
+
     async def follow(self) -> None:
         """Keep the copy up to date until cancelled."""
         pause = PAUSE_AFTER_ERROR_SECONDS
@@ -88,7 +94,6 @@
             try:
                 has_changed = await self._step()
                 pause = PAUSE_AFTER_ERROR_SECONDS
-                self._note_reachable(True, "")
                 if has_changed and self.gather_seconds:
                     await self._gather()
             except LogUnavailableError as error:
@@ -152,6 +157,8 @@
             )
             await self._load()
             return True
+        # Before the changes are taken in: what they mean may depend on an outage.
+        self._note_reachable(True, "")
         for record in answer.records:
             self._apply(record)
         if answer.records:
@@ -172,6 +179,7 @@
         while page.next_after is not None:
             page = await self._log.newest(self._partition, page.next_after)
             records += page.records
+        self._note_reachable(True, "")
         # All at once and in the order of appends: nobody sees half of what belongs together.
         for record in sorted(records, key=lambda record: record.offset):
             self._apply(record)
@@ -204,6 +212,7 @@
             return
         self._is_reachable = is_reachable
         if is_reachable:
+            self.regained_at = anyio.current_time()
             logger.info("store_regained", topic=self._partition.topic, position=self.position)
         else:
             logger.warning("store_lost", topic=self._partition.topic, position=self.position, reason=reason)
--- a/src/worksramp/coordination/log_lease.py
+++ b/src/worksramp/coordination/log_lease.py
@@ -47,6 +47,7 @@
         order_validity: the owner orders workers only while its last renewal is younger than this.
         order_guard: a new owner orders no worker sooner than this after a former owner's last announcement.
         max_replica_age: a claimant's copy must have been confirmed this recently.
+        after_outage: time that an owner has to renew once the store answers again.
     """
 
     expiry: float
@@ -54,6 +55,7 @@
     order_validity: float
     order_guard: float
     max_replica_age: float
+    after_outage: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,6 +69,7 @@
         replica_age: seconds since its copy was confirmed as current.
         may_own: whether this node wants the lease at all.
         jitter: this node's own share of waiting, so that claims seldom race.
+        regained_age: seconds since the store answered this node again.
     """
 
     owner: OwnerRecord | None
@@ -75,6 +78,7 @@
     replica_age: float
     may_own: bool
     jitter: float
+    regained_age: float = float("inf")
 
 
 @dataclass(frozen=True, slots=True)
@@ -120,6 +124,9 @@
     if view.is_own_machine:
         # One process at a time runs on a machine: the one that wrote this has ended.
         return ClaimLease(view.owner.epoch + 1)
+    if not view.owner.is_released and view.regained_age < times.after_outage + view.jitter:
+        # While the store was away nobody could renew: the silence says nothing of the owner yet.
+        return LeaveLease("store_regained")
     due = view.jitter if view.owner.is_released else times.expiry + view.jitter
     if now - view.owner_changed_at < due:
         return LeaveLease("owner_renews")
--- a/src/worksramp/edge/node.py
+++ b/src/worksramp/edge/node.py
@@ -36,6 +36,11 @@
 
 BOOT_CHARACTERS = 8
 STOP_TICK_SECONDS = 0.05
+DROP_TICK_SECONDS = 0.1
+#: Entries that go this soon after an outage of the store went because of it.
+AFTER_OUTAGE_SECONDS = 1.0
+#: A worker without an entry is kept for this share of the time in which a leaving one must get no more work.
+MISSING_SHARE = 0.8
 USABLE = "usable"
 WORKER_STATES = (USABLE, "leaving")
 
@@ -56,6 +61,7 @@
         # An order follows its announcement by no more than the validity of a renewal.
         order_guard=(1.1 + 0.3) * bounds.lease,
         max_replica_age=poll_seconds(bounds) + 0.1 * bounds.lease,
+        after_outage=0.25 * bounds.lease,
     )
 
 
@@ -187,6 +193,7 @@
         async with anyio.create_task_group() as group:
             group.start_soon(self._control.follow)
             group.start_soon(self._workers.follow)
+            group.start_soon(self._drop_missing_workers)
             group.start_soon(self.shard.run)
 
     async def stop(self) -> None:
@@ -230,6 +237,29 @@
         self.table.current = table
         logger.info("configuration_in_force", version=table.version, num_routes=len(table.routes))
 
+    def _take_worker_gone(self, worker_id: str) -> None:
+        """Drop a worker, or keep it for a while when its entry went with the store.
+
+        Entries run out while the store is away, since nobody can write them; sound workers write them again
+        at once. None is kept as long as a worker that leaves may be given work.
+        """
+        was_outage = self._workers.regained_age() < AFTER_OUTAGE_SECONDS
+        logger.info("worker_gone", worker=worker_id, is_kept=was_outage)
+        if was_outage:
+            self.directory.mark_missing(worker_id, anyio.current_time())
+        else:
+            self.directory.remove(worker_id)
+
+    async def _drop_missing_workers(self) -> None:
+        while True:
+            await anyio.sleep(DROP_TICK_SECONDS)
+            for worker_id in self.directory.missing_since(
+                anyio.current_time() - MISSING_SHARE * self.settings.bounds.drain
+            ):
+                logger.info("worker_dropped", worker=worker_id)
+                self.directory.remove(worker_id)
+                self.shard.wake()
+
     def _take_worker(self, change: Change) -> None:
         event = self.records.worker_event(change)
         if isinstance(event, WorkerSeen):
@@ -244,8 +274,7 @@
                 )
             self.directory.put(event.entry)
         elif isinstance(event, WorkerGone):
-            logger.info("worker_gone", worker=event.worker_id)
-            self.directory.remove(event.worker_id)
+            self._take_worker_gone(event.worker_id)
         elif isinstance(event, Unreadable):
             logger.error("record_unreadable", key=event.key, reason=event.reason)
         self.shard.wake()
--- a/src/worksramp/edge/settings.py
+++ b/src/worksramp/edge/settings.py
@@ -23,6 +23,7 @@
         settle: an accepted batch or result is known everywhere after this.
         status: results are kept for this long.
         acknowledge: a call of a batch is answered within this.
+        drain: a worker that leaves gets no new work after this.
     """
 
     configuration_apply: float = 2.0
@@ -31,6 +32,7 @@
     settle: float = 1.0
     status: float = 120.0
     acknowledge: float = 4.0
+    drain: float = 2.0
 
 
 class StoreSettings(msgspec.Struct, frozen=True):
--- a/src/worksramp/edge/shard.py
+++ b/src/worksramp/edge/shard.py
@@ -174,6 +174,7 @@
             replica_age=self.replica.confirmed_age(),
             may_own=self.context.may_own() and not self._is_stopping,
             jitter=self._jitter,
+            regained_age=self.replica.regained_age(),
         )
 
     async def _claim_and_own(self, epoch: int) -> None:
--- a/src/worksramp/routing/workers.py
+++ b/src/worksramp/routing/workers.py
@@ -64,11 +64,13 @@
     def __init__(self) -> None:
         self._states: dict[str, WorkerState] = {}
         self._left: set[str] = set()
+        self._missing_since: dict[str, float] = {}
         self.revision = 0
 
     def put(self, entry: WorkerEntry) -> None:
         """Take in a worker's entry. Leaving is for good."""
         self.revision += 1
+        self._missing_since.pop(entry.worker_id, None)
         if entry.is_leaving:
             self._left.add(entry.worker_id)
         state = self._states.get(entry.worker_id)
@@ -82,10 +84,20 @@
     def remove(self, worker_id: str) -> None:
         """Take in that a worker's entry is gone."""
         self.revision += 1
+        self._missing_since.pop(worker_id, None)
         state = self._states.pop(worker_id, None)
         if state is not None:
             state.is_gone = True
 
+    def mark_missing(self, worker_id: str, now: float) -> None:
+        """Take in that a worker's entry went, which may say nothing of the worker."""
+        if worker_id in self._states:
+            self._missing_since.setdefault(worker_id, now)
+
+    def missing_since(self, latest: float) -> list[str]:
+        """Return the workers whose entries went at this time or before and have not come back."""
+        return [worker_id for worker_id, at in self._missing_since.items() if at <= latest]
+
     def mark_leaving(self, worker_id: str) -> None:
         """Take in that a worker was found to be leaving, or to be another one, by its own answer."""
         self._left.add(worker_id)
--- /dev/null
+++ b/tests/unit/test_outages.py
@@ -0,0 +1,111 @@
+"""What an outage of the store must not be taken for: a death of the owner, or of workers."""
+
+from collections.abc import Awaitable, Callable
+
+import anyio
+import pytest
+
+from worksramp.logs import configure_logs
+from worksramp_emulator.simulation.batch_world import SERVICE, BatchWorld, BatchWorldSpec
+from worksramp_emulator.simulation.clock import run_simulated
+
+
+def play(seed: int, work: Callable[[BatchWorld], Awaitable[None]]) -> None:
+    async def main() -> None:
+        configure_logs("error")
+        async with anyio.create_task_group() as group:
+            world = BatchWorld(BatchWorldSpec(num_nodes=8), seed, group)
+            await world.start()
+            await world.wait_owner()
+            await work(world)
+            group.cancel_scope.cancel()
+
+    run_simulated(main, seed)
+
+
+async def outage(world: BatchWorld, seconds: float) -> None:
+    world.store.faults.is_down = True
+    await anyio.sleep(seconds)
+    world.store.faults.is_down = False
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_an_owner_that_lives_keeps_its_lease_over_an_outage(seed: int) -> None:
+    async def work(world: BatchWorld) -> None:
+        owner = await world.wait_owner()
+        assert owner.node is not None
+        epoch = owner.node.shard.epoch
+        await outage(world, 5.0)
+        # A caller's append shows the other nodes at once that the store is back.
+        world.put(world.records.batches, "e/other", b"1")
+        await anyio.sleep(3.0)
+        assert owner.node.shard.epoch == epoch
+
+    play(seed, work)
+
+
+def test_an_owner_that_died_in_an_outage_is_followed_soon_after_it() -> None:
+    async def work(world: BatchWorld) -> None:
+        owner = await world.wait_owner()
+        world.store.faults.is_down = True
+        await anyio.sleep(3.0)
+        world.kill_node(owner)
+        await anyio.sleep(2.0)
+        world.store.faults.is_down = False
+        with anyio.fail_after(2.0):
+            assert await world.wait_owner() is not owner
+
+    play(1, work)
+
+
+def usable(world: BatchWorld) -> list[int]:
+    return [len(slot.node.directory.usable(SERVICE)) for slot in world.slots if slot.node is not None]
+
+
+def drop_entries(world: BatchWorld) -> dict[str, bytes]:
+    entries = {}
+    for worker_id in world.fleet.workers:
+        value = world.store.newest_value(world.records.workers, worker_id)
+        assert value is not None
+        entries[worker_id] = value
+        world.put(world.records.workers, worker_id, b"")
+    return entries
+
+
+def test_workers_whose_entries_went_with_the_store_stay_usable_until_they_are_back() -> None:
+    async def work(world: BatchWorld) -> None:
+        world.store.faults.is_down = True
+        await anyio.sleep(4.0)
+        entries = drop_entries(world)
+        world.store.faults.is_down = False
+        for _ in range(14):
+            await anyio.sleep(0.1)
+            assert usable(world) == [3] * 8
+        for worker_id, value in entries.items():
+            world.put(world.records.workers, worker_id, value)
+        for _ in range(40):
+            await anyio.sleep(0.1)
+            assert usable(world) == [3] * 8
+
+    play(1, work)
+
+
+def test_workers_that_do_not_come_back_are_dropped_within_the_bound_of_leaving_ones() -> None:
+    async def work(world: BatchWorld) -> None:
+        world.store.faults.is_down = True
+        await anyio.sleep(4.0)
+        drop_entries(world)
+        world.store.faults.is_down = False
+        await anyio.sleep(2.4)
+        assert usable(world) == [0] * 8
+
+    play(1, work)
+
+
+def test_an_entry_that_goes_without_an_outage_is_a_worker_gone() -> None:
+    async def work(world: BatchWorld) -> None:
+        drop_entries(world)
+        await anyio.sleep(0.3)
+        assert usable(world) == [0] * 8
+
+    play(1, work)
