--- a/src/worksramp/rollout/batch_owner.py
+++ b/src/worksramp/rollout/batch_owner.py
@@ -4,13 +4,11 @@
 rest, one keeps texts in the log so that the next owner goes on from them.
 """
 
-from collections.abc import Iterable
-
 import anyio
 import anyio.abc
 import structlog
 
-from worksramp.coordination.value_store import ValuesUnavailableError
+from worksramp.rollout.batch_reader import BatchReader
 from worksramp.rollout.batch_run import (
     RunBroken,
     RunFailed,
@@ -23,7 +21,7 @@
     run_item,
 )
 from worksramp.rollout.batch_schedule import Assignment, assign
-from worksramp.rollout.batches import Batch, BatchItem, BatchResult, GeneratedText
+from worksramp.rollout.batches import Batch, BatchResult
 from worksramp.rollout.item_work import (
     AVOID_AFTER_BREAK_SECONDS,
     AVOID_AFTER_REFUSAL_SECONDS,
@@ -42,9 +40,6 @@
 
 TICK_SECONDS = 0.05
 FAILURE_PAUSE_SECONDS = 0.1
-FETCH_AGAIN_SECONDS = 0.1
-#: What is worth waiting for a text of an earlier batch; after that the item runs anew.
-EARLIER_TEXTS_SECONDS = 0.5
 
 logger = structlog.get_logger()
 
@@ -59,6 +54,7 @@
         self.items = OpenItems(context, self._pace, self._failures)
         self._watch = RunWatch(self.items, self._pace, self._failures)
         self._texts = TextKeeper(context, self.items)
+        self._reader = BatchReader(context.values, context.ledger)
         self._results = ResultWriter(context.values.store, context.writer, context.max_record_bytes)
         self._next_positions: dict[str, int] = {}
         self._seen_batches: set[str] = set()
@@ -125,8 +121,8 @@
         """Read the items of a batch that are not listed yet, and have them run."""
         item_ids = batch.header.item_ids
         indices = [index for index, item_id in enumerate(item_ids) if item_id not in batch.listed]
-        items = await self._fetch_items(batch, indices)
-        earlier = await self._earlier_texts(item_ids[index] for index in indices)
+        items = await self._reader.items(batch, indices)
+        earlier = await self._reader.earlier_texts(item_ids[index] for index in indices)
         if batch.is_ended or self._is_stopping:
             return
         self.items.note_step(batch.header.model, len(item_ids))
@@ -160,37 +156,6 @@
         )
         self.wake()
 
-    async def _fetch_items(self, batch: Batch, indices: list[int]) -> dict[int, BatchItem]:
-        """Read items, again and again until the store gives them or the batch is ended."""
-        while not batch.is_ended:
-            try:
-                return await self._context.values.items(batch.header, indices)
-            except ValuesUnavailableError as error:
-                logger.warning("items_not_read", batch_id=batch.header.batch_id, reason=str(error))
-            await anyio.sleep(FETCH_AGAIN_SECONDS)
-        return {}
-
-    async def _earlier_texts(self, item_ids: Iterable[str]) -> dict[str, GeneratedText]:
-        """Return whole texts of items that an earlier batch lists as completed."""
-        ledger = self._context.ledger
-        positions: dict[str, list[int]] = {}
-        for item_id in item_ids:
-            place = ledger.completed_place(item_id)
-            if place is not None:
-                positions.setdefault(place[0], []).append(place[1])
-        texts: dict[str, GeneratedText] = {}
-        for batch_id, wanted in positions.items():
-            try:
-                with anyio.fail_after(EARLIER_TEXTS_SECONDS):
-                    results = await self._context.values.results(ledger.batches[batch_id], wanted)
-            except (ValuesUnavailableError, TimeoutError, KeyError) as error:
-                logger.warning("earlier_texts_not_read", batch_id=batch_id, reason=str(error))
-                continue
-            for result in results:
-                pieces = tuple(result.text.split("\n"))
-                texts[result.item_id] = GeneratedText(pieces, None, result.versions, 0, is_whole=True)
-        return texts
-
     def _drop_batch(self, batch_id: str) -> None:
         if batch_id not in self._seen_batches:
             return
