Routes are found by look-ups, and moves of runs are weighed against one view of the places

Change: RouteTable keeps an index by host and prefix, cut at slashes; RunWatch makes one view a look and passes over runs that no free place could end sooner.

--- a/src/worksramp/rollout/run_watch.py
+++ b/src/worksramp/rollout/run_watch.py
@@ -3,7 +3,7 @@
 import anyio
 import structlog
 
-from worksramp.rollout.batch_schedule import assign
+from worksramp.rollout.batch_schedule import Place, assign
 from worksramp.rollout.item_work import ItemWork, Run
 from worksramp.rollout.open_items import OpenItems
 from worksramp.rollout.pace import PaceTracker
@@ -37,6 +37,7 @@
         """Look at all runs once."""
         now = anyio.current_time()
         typical = self._pace.typical_seconds(now)
+        places = self._items.places(now)
         # Where items wait for a place, a move would only change who waits.
         num_moves = MAX_MOVES_A_TICK if any(work.run is None for work in self._items.works.values()) else 0
         for work in list(self._items.works.values()):
@@ -46,7 +47,10 @@
             if self._is_stuck(run, typical, now):
                 self._failures.observe(run.worker_id, is_failure=True, now=now)
                 self._move(work, run, "stuck", now)
-            elif num_moves < MAX_MOVES_A_TICK and self._gain_of_move(work, run, now) > MIN_MOVE_GAIN_SECONDS:
+            elif (
+                num_moves < MAX_MOVES_A_TICK
+                and self._gain_of_move(work, run, places, now) > MIN_MOVE_GAIN_SECONDS
+            ):
                 num_moves += 1
                 self._move(work, run, "faster_elsewhere", now)
 
@@ -56,12 +60,20 @@
             return silent > FIRST_EVENT_SECONDS
         return silent > max(MIN_STUCK_SECONDS, STUCK_FACTOR * (typical or 0.0))
 
-    def _gain_of_move(self, work: ItemWork, run: Run, now: float) -> float:
+    def _gain_of_move(self, work: ItemWork, run: Run, places: list[Place], now: float) -> float:
         """Return the seconds by which an item is expected to end sooner at the best other worker."""
         pace = self._pace.seconds_per_event(run.worker_id, now)
         if pace is None or now - run.started_at < MIN_SECONDS_BETWEEN_MOVES:
             return 0.0
-        other = self._best_other_pace(work, run, now)
+        # Most runs are at workers about as fast as any: they are passed over before it gets dear.
+        if not any(
+            place.seconds_per_event is not None
+            and place.num_running < place.num_slots
+            and pace >= MIN_MOVE_PACE_RATIO * place.seconds_per_event
+            for place in places
+        ):
+            return 0.0
+        other = self._best_other_pace(work, run, places, now)
         if other is None or pace < MIN_MOVE_PACE_RATIO * other:
             return 0.0
         return self._num_events_left(work) * (pace - other) - MOVE_COST_SECONDS
@@ -71,11 +83,10 @@
         estimated = work.num_expected_tokens(tokens_per_event) / tokens_per_event
         return max(estimated, EXPECTED_TAIL_SHARE * len(work.text.pieces))
 
-    def _best_other_pace(self, work: ItemWork, run: Run, now: float) -> float | None:
+    def _best_other_pace(self, work: ItemWork, run: Run, places: list[Place], now: float) -> float | None:
         """Return the pace of the worker with a free slot that an item would move to, None without one."""
         items = self._items.waiting_items([work], now)
-        places = [place for place in self._items.places(now) if place.worker_id != run.worker_id]
-        assignments = assign(items, places)
+        assignments = assign(items, [place for place in places if place.worker_id != run.worker_id])
         if not assignments:
             return None
         return self._pace.seconds_per_event(assignments[0].worker_id, now)
--- a/src/worksramp/routing/table.py
+++ b/src/worksramp/routing/table.py
@@ -104,17 +104,24 @@
     routes: tuple[Route, ...]
     services: dict[str, ServiceSpec]
     limits: CallerLimits = field(default_factory=CallerLimits)
+    _index: dict[tuple[str, str], Route] = field(init=False, repr=False, compare=False)
 
-    def match(self, host: str, path: str) -> Route | None:
-        """Return the route for a request, None when there is none."""
-        best: Route | None = None
+    def __post_init__(self) -> None:
+        index: dict[tuple[str, str], Route] = {}
         for route in self.routes:
-            if route.host != host or not path.startswith(route.path_prefix):
-                continue
-            if best is None or len(route.path_prefix) > len(best.path_prefix):
-                best = route
-        return best
-
-    def has_host(self, host: str) -> bool:
-        """Return whether any route is for this host."""
-        return any(route.host == host for route in self.routes)
+            index.setdefault((route.host, route.path_prefix), route)
+        object.__setattr__(self, "_index", index)
+
+    def match(self, host: str, path: str) -> Route | None:
+        """Return the route for a request, None when there is none.
+
+        Prefixes begin and end with a slash, so that the longest one is found by cutting the path at its
+        slashes: as many look-ups as the path has parts, however many routes there are.
+        """
+        end = path.rfind("/")
+        while end >= 0:
+            route = self._index.get((host, path[: end + 1]))
+            if route is not None:
+                return route
+            end = path.rfind("/", 0, end)
+        return None
