Nodes read less often: pauses between reads follow from the bounds

Change: followers read batches each 0.2 of settle instead of 0.1 s, workers and configuration gather for 0.075 of drain and 0.025 of the bound of configuration; the claim is looked at ten times a second.

--- a/src/worksramp/edge/node.py
+++ b/src/worksramp/edge/node.py
@@ -36,7 +36,7 @@
 
 BOOT_CHARACTERS = 8
 STOP_TICK_SECONDS = 0.05
-DROP_TICK_SECONDS = 0.1
+DROP_TICK_SECONDS = 0.2
 #: Entries that go this soon after an outage of the store went because of it.
 AFTER_OUTAGE_SECONDS = 1.0
 #: A worker without an entry is kept for this share of the time in which a leaving one must get no more work.
@@ -52,6 +52,11 @@
     return min(bounds.configuration_apply / 4, bounds.settle / 2)
 
 
+def gather_seconds(bounds: EdgeBounds) -> float:
+    """Return the pause between two reads of batches: with many nodes, what they cost is reads."""
+    return 0.2 * bounds.settle
+
+
 def lease_times(bounds: EdgeBounds) -> LeaseTimes:
     """Return the times of the owner's lease. Source: docs/design/prepared-machines.md."""
     return LeaseTimes(
@@ -60,7 +65,7 @@
         order_validity=0.3 * bounds.lease,
         # An order follows its announcement by no more than the validity of a renewal.
         order_guard=(1.1 + 0.3) * bounds.lease,
-        max_replica_age=poll_seconds(bounds) + 0.1 * bounds.lease,
+        max_replica_age=poll_seconds(bounds) + gather_seconds(bounds) + 0.1 * bounds.lease,
         after_outage=0.25 * bounds.lease,
     )
 
@@ -93,8 +98,12 @@
         self.forwarder = Forwarder(
             self.directory, self.port, random.Random(), self._note_request, settings.node_id
         )
-        self._control = KeyedReplica(self.log, self.records.control, poll, self._take_control)
-        self._workers = KeyedReplica(self.log, self.records.workers, poll, self._take_worker)
+        self._control = KeyedReplica(
+            self.log, self.records.control, poll, self._take_control, 0.025 * bounds.configuration_apply
+        )
+        self._workers = KeyedReplica(
+            self.log, self.records.workers, poll, self._take_worker, 0.075 * bounds.drain
+        )
         values = BatchValues(ValueStore(self.log, self.records.values))
         self.shard = BatchShard(
             ShardContext(
@@ -106,6 +115,7 @@
                 boot=uuid.uuid4().hex[:BOOT_CHARACTERS],
                 times=lease_times(bounds),
                 poll_seconds=poll,
+                gather_seconds=gather_seconds(bounds),
                 directory=self.directory,
                 port=self.port,
                 table=self.table,
--- a/src/worksramp/edge/shard.py
+++ b/src/worksramp/edge/shard.py
@@ -38,12 +38,11 @@
 from worksramp.weights.version_mover import MoverContext, VersionMover
 from worksramp.wire import decode, encode
 
-CLAIM_TICK_SECONDS = 0.05
+CLAIM_TICK_SECONDS = 0.1
 CLAIM_TRIES = 4
 CLAIM_BARRIER_SECONDS = 2.0
 RELEASE_SECONDS = 1.5
 FLUSH_SECONDS = 0.7
-FOLLOWER_GATHER_SECONDS = 0.1
 OWNER_GATHER_SECONDS = 0.02
 
 logger = structlog.get_logger()
@@ -57,6 +56,7 @@
         node: name of the machine.
         boot: random text of this start of the process.
         num_cores: processor time of the machine.
+        gather_seconds: pause between two reads of a node that does not own the shard.
         values: items and texts of batches.
         progress: texts so far of items.
     """
@@ -69,6 +69,7 @@
     boot: str
     times: LeaseTimes
     poll_seconds: float
+    gather_seconds: float
     directory: WorkerDirectory
     port: WorkerPort
     table: TableSource
@@ -99,7 +100,11 @@
     def __post_init__(self) -> None:
         context = self.context
         self.replica = KeyedReplica(
-            context.log, context.partition, context.poll_seconds, self._take_change, FOLLOWER_GATHER_SECONDS
+            context.log,
+            context.partition,
+            context.poll_seconds,
+            self._take_change,
+            self.context.gather_seconds,
         )
         self._jitter = random.uniform(*claim_delay_range(self.context.num_cores))
 
@@ -253,7 +258,7 @@
         finally:
             self._owner = None
             self._writer = None
-            self.replica.gather_seconds = FOLLOWER_GATHER_SECONDS
+            self.replica.gather_seconds = self.context.gather_seconds
 
     async def _end_with_lease(self, writer: FencedWriter, scope: anyio.CancelScope) -> None:
         """End the owner's work once the lease is given back or another node has claimed."""
