Whole texts are scored before they are listed

Change: an item's stages are now running, whole, scored, listed. The owner sends the call once the text is whole, by the route of its host and path, to a worker with room; outcomes are told apart (scored, not run, lost, failed, impossible), only the scorer's own errors count towards giving the item up. The score stands with the text in the log, so that the next owner goes on with the score alone; a text that is made anew loses it. The owner is split: runs, scores and listings have modules of their own, their outcomes go to handlers in a registry.

--- a/src/worksramp/edge/metrics.py
+++ b/src/worksramp/edge/metrics.py
@@ -24,6 +24,7 @@
             "request_seconds", "From reading a live request to its answer", REQUEST_BUCKETS, "kind"
         )
         self.item_runs = self._counter("item_runs", "Runs of items at workers", "outcome")
+        self.scoring_calls = self._counter("scoring_calls", "Scoring calls at workers", "outcome")
         self.item_seconds = self._histogram(
             "item_seconds", "Age of a batch at the listing of an item", ITEM_BUCKETS
         )
--- a/src/worksramp/edge/node.py
+++ b/src/worksramp/edge/node.py
@@ -149,6 +149,7 @@
         )
         gauge("lease_epoch", "Epoch of the lease held, 0 for none", lambda: self.shard.epoch)
         gauge("items_waiting", "Items that wait for a worker", lambda: self.shard.num_waiting)
+        gauge("items_unscored", "Whole texts that wait for their scores", lambda: self.shard.num_unscored)
         for state in WORKER_STATES:
             gauge(
                 "workers",
--- a/src/worksramp/edge/shard.py
+++ b/src/worksramp/edge/shard.py
@@ -123,6 +123,11 @@
         """Items that wait for a place, as far as this node owns them."""
         return len(self._owner.items.waiting()) if self._owner is not None else 0
 
+    @property
+    def num_unscored(self) -> int:
+        """Items whose texts are whole and wait for their scores, as far as this node owns them."""
+        return len(self._owner.items.unscored()) if self._owner is not None else 0
+
     def wake(self) -> None:
         """Tell the owner's work that the directory or the configuration has changed."""
         if self._owner is not None:
@@ -237,6 +242,7 @@
                 context.status_seconds,
                 context.time_of_day,
                 lambda outcome: context.metrics.item_runs.labels(outcome).inc(),
+                lambda outcome: context.metrics.scoring_calls.labels(outcome).inc(),
                 context.metrics.item_seconds.observe,
             )
         )
--- a/src/worksramp/rollout/batch_reader.py
+++ b/src/worksramp/rollout/batch_reader.py
@@ -51,5 +51,7 @@
                 continue
             for result in results:
                 pieces = tuple(result.text.split("\n"))
-                texts[result.item_id] = GeneratedText(pieces, None, result.versions, 0, is_whole=True)
+                texts[result.item_id] = GeneratedText(
+                    pieces, None, result.versions, 0, is_whole=True, score=result.score
+                )
         return texts
--- a/src/worksramp/rollout/batch_run.py
+++ b/src/worksramp/rollout/batch_run.py
@@ -5,7 +5,7 @@
 
 import anyio
 
-from worksramp.rollout.batches import BatchItem, GeneratedText
+from worksramp.rollout.batches import BatchItem, GeneratedText, Score
 from worksramp.routing.events import EventSplitter, StreamEvent
 from worksramp.routing.worker_port import (
     WorkerAnswer,
@@ -30,12 +30,20 @@
     versions: list[int] = field(default_factory=list)
     num_failures: int = 0
     is_whole: bool = False
+    score: Score | None = None
+    num_scoring_failures: int = 0
 
     @classmethod
     def from_text(cls, text: GeneratedText) -> "TextBuilder":
         """Return a builder that goes on from a kept text."""
         return cls(
-            list(text.pieces), text.last_event_id, list(text.versions), text.num_failures, text.is_whole
+            list(text.pieces),
+            text.last_event_id,
+            list(text.versions),
+            text.num_failures,
+            text.is_whole,
+            text.score,
+            text.num_scoring_failures,
         )
 
     def freeze(self, batch_id: str) -> GeneratedText:
@@ -47,15 +55,19 @@
             self.num_failures,
             self.is_whole,
             batch_id,
+            self.score,
+            self.num_scoring_failures,
         )
 
     def clear(self) -> None:
-        """Throw the text away; failures stay counted."""
+        """Throw the text and its score away; failures stay counted."""
         self.pieces, self.last_event_id, self.versions, self.is_whole = [], None, [], False
+        self.score = None
 
     def add(self, event: StreamEvent, version: int) -> None:
         """Add a whole event made under ``version``."""
         self.pieces.append(event.data)
+        self.score = None
         self.last_event_id = event.event_id
         if version not in self.versions:
             self.versions.append(version)
--- a/src/worksramp/rollout/batch_values.py
+++ b/src/worksramp/rollout/batch_values.py
@@ -92,6 +92,7 @@
                 record.is_completed,
                 b"".join(found[place.key] for place in _text_places(batch_id, position, record)).decode(),
                 record.versions,
+                record.score,
             )
             for position, record in records.items()
         ]
--- a/src/worksramp/rollout/batches.py
+++ b/src/worksramp/rollout/batches.py
@@ -42,6 +42,33 @@
     item_sizes_b: tuple[int, ...] = ()
 
 
+class ScoringCall(msgspec.Struct, frozen=True, array_like=True):
+    """Request that has an item's whole text scored.
+
+    Attributes:
+        call_id: id that the scorer's answer must name.
+        host: host whose route it takes.
+        target: path and query as sent to a worker.
+    """
+
+    call_id: str
+    host: str
+    target: str
+    body: bytes
+
+
+class Score(msgspec.Struct, frozen=True, array_like=True):
+    """A good answer to a scoring call.
+
+    Attributes:
+        call_id: the call that it answers.
+        signature: the scorer's, as the trainer reads it.
+    """
+
+    call_id: str
+    signature: str
+
+
 class BatchItem(msgspec.Struct, frozen=True, array_like=True):
     """One request of a batch.
 
@@ -50,6 +77,7 @@
         headers: name and value, forwarded as they are.
         num_tokens: prompt and the most that may be generated.
         num_expected_tokens: the submitter's estimate of those generated, 0 when there is none.
+        scoring_call: what must be answered before the item is listed as completed, None for nothing.
     """
 
     item_id: str
@@ -58,6 +86,7 @@
     body: bytes
     num_tokens: int
     num_expected_tokens: int = 0
+    scoring_call: ScoringCall | None = None
 
 
 class GeneratedText(msgspec.Struct, frozen=True, array_like=True):
@@ -70,6 +99,8 @@
         num_failures: runs that the workers ended with an error of their own, in ``batch_id``.
         is_whole: nothing follows.
         batch_id: batch that the failures were counted in.
+        score: answer to a scoring call that was sent after the text was whole.
+        num_scoring_failures: errors of their own that scorers answered with, in ``batch_id``.
     """
 
     pieces: tuple[str, ...] = ()
@@ -78,6 +109,8 @@
     num_failures: int = 0
     is_whole: bool = False
     batch_id: str = ""
+    score: Score | None = None
+    num_scoring_failures: int = 0
 
 
 class ResultRecord(msgspec.Struct, frozen=True, array_like=True):
@@ -88,6 +121,7 @@
         epoch: of the owner that wrote the text.
         text_offsets: where the parts of the text were written among the values.
         text_sizes_b: size of each part.
+        score: of a completed item that has a scoring call.
     """
 
     item_id: str
@@ -96,6 +130,7 @@
     epoch: int = 0
     text_offsets: tuple[int, ...] = ()
     text_sizes_b: tuple[int, ...] = ()
+    score: Score | None = None
 
     @property
     def text_size_b(self) -> int:
@@ -111,6 +146,7 @@
     is_completed: bool
     text: str
     versions: tuple[int, ...]
+    score: Score | None = None
 
 
 @dataclass(slots=True)
--- /dev/null
+++ b/src/worksramp/rollout/item_lister.py
@@ -0,0 +1,67 @@
+"""Lists items: each open item of an owner's batches gets one position, completed or given up."""
+
+import structlog
+
+from worksramp.rollout.batches import BatchResult
+from worksramp.rollout.item_work import ItemWork
+from worksramp.rollout.open_items import OpenItems
+from worksramp.rollout.owner_context import OwnerContext
+from worksramp.rollout.result_writer import ResultWriter
+from worksramp.rollout.text_keeper import TextKeeper
+
+logger = structlog.get_logger()
+
+
+class ItemLister:
+    """Gives out the positions of an owner's batches."""
+
+    def __init__(
+        self, context: OwnerContext, items: OpenItems, texts: TextKeeper, results: ResultWriter
+    ) -> None:
+        self._context = context
+        self._items = items
+        self._texts = texts
+        self._results = results
+        self._next_positions: dict[str, int] = {}
+
+    def open_batch(self, batch_id: str, num_results: int) -> None:
+        """Go on after the results that a batch has."""
+        self._next_positions[batch_id] = num_results
+
+    def complete(self, work: ItemWork) -> None:
+        """List an item whose text is whole and scored."""
+        assert work.text.is_whole and work.is_scored
+        text = work.text
+        self._list(
+            work,
+            BatchResult(
+                work.item.item_id,
+                True,
+                "\n".join(text.pieces),
+                tuple(text.versions),
+                text.score if work.item.scoring_call is not None else None,
+            ),
+        )
+
+    def give_up(self, work: ItemWork, reason: str) -> None:
+        """List an item as given up."""
+        work.stop()
+        self._list(work, BatchResult(work.item.item_id, False, "", ()))
+        logger.warning(
+            "item_given_up",
+            item_id=work.item.item_id,
+            batch_id=work.key[0],
+            reason=reason,
+            num_failures=work.text.num_failures,
+            num_scoring_failures=work.text.num_scoring_failures,
+        )
+
+    def _list(self, work: ItemWork, result: BatchResult) -> None:
+        batch_id = work.key[0]
+        work.is_done = True
+        self._items.works.pop(work.key, None)
+        position = self._next_positions[batch_id]
+        self._next_positions[batch_id] = position + 1
+        self._results.put(batch_id, position, result)
+        self._texts.forget(work.item.item_id)
+        self._context.on_listed(self._context.time_of_day() - work.submitted_at)
--- /dev/null
+++ b/src/worksramp/rollout/item_runner.py
@@ -0,0 +1,195 @@
+"""Runs the open items of an owner at workers and takes in what came of each run."""
+
+from collections.abc import Callable
+
+import anyio
+import anyio.abc
+import structlog
+
+from worksramp.outcome_handlers import OutcomeHandlers
+from worksramp.rollout.batch_run import (
+    RunBroken,
+    RunFailed,
+    RunFinished,
+    RunNeverPossible,
+    RunNotBegun,
+    RunOutcome,
+    RunSpec,
+    RunWrongVersion,
+    run_item,
+)
+from worksramp.rollout.batch_schedule import Assignment, assign
+from worksramp.rollout.item_lister import ItemLister
+from worksramp.rollout.item_work import (
+    AVOID_AFTER_BREAK_SECONDS,
+    AVOID_AFTER_REFUSAL_SECONDS,
+    ItemWork,
+    Run,
+)
+from worksramp.rollout.open_items import OpenItems
+from worksramp.rollout.owner_context import OwnerContext
+from worksramp.rollout.pace import PaceTracker
+from worksramp.routing.failure_tracker import FailureTracker
+
+FAILURE_PAUSE_SECONDS = 0.1
+
+logger = structlog.get_logger()
+
+_take = OutcomeHandlers["ItemRunner", RunOutcome]()
+
+
+class ItemRunner:
+    """Gives waiting items to workers.
+
+    Args:
+        on_whole: told of each item whose text has become whole.
+        wake: has the owner look again at once.
+    """
+
+    def __init__(
+        self,
+        context: OwnerContext,
+        items: OpenItems,
+        pace: PaceTracker,
+        failures: FailureTracker,
+        lister: ItemLister,
+        on_whole: Callable[[ItemWork], None],
+        wake: Callable[[], None],
+    ) -> None:
+        self._context = context
+        self._items = items
+        self._pace = pace
+        self._failures = failures
+        self._lister = lister
+        self._on_whole = on_whole
+        self._wake = wake
+
+    def look(self, group: anyio.abc.TaskGroup) -> None:
+        """Give waiting items to workers that have room."""
+        waiting = self._items.waiting()
+        if not waiting:
+            return
+        now = anyio.current_time()
+        for assignment in assign(self._items.waiting_items(waiting, now), self._items.places(now)):
+            self._start(group, assignment, now)
+
+    def _start(self, group: anyio.abc.TaskGroup, assignment: Assignment, now: float) -> None:
+        work = self._items.works[assignment.key]
+        run = Run(assignment.worker_id, anyio.CancelScope(), now, now)
+        work.run = run
+        group.start_soon(self._run, work, run)
+
+    async def _run(self, work: ItemWork, run: Run) -> None:
+        state = self._context.directory.get(run.worker_id)
+        outcome: RunOutcome = RunNotBegun("no_entry")
+        spec = RunSpec(work.item, self._items.host(work), work.min_version, work.route.needs_one_version)
+
+        def note_event() -> None:
+            now = anyio.current_time()
+            if run.num_events and run.worker_id not in self._items.loading:
+                self._pace.observe(run.worker_id, now - run.last_event_at, now)
+            run.note_event(now)
+
+        num_before = len(work.text.pieces)
+        if state is not None:
+            with run.scope:
+                outcome = await run_item(self._context.port, state.entry, spec, work.text, note_event)
+            if run.scope.cancelled_caught:
+                outcome = RunBroken("moved" if run.is_moving else "closed")
+        work.run = None
+        self._context.on_run_ended(type(outcome).__name__)
+        if not work.is_done:
+            self._take_outcome(work, run, outcome, len(work.text.pieces) - num_before)
+        self._wake()
+
+    def _take_outcome(self, work: ItemWork, run: Run, outcome: RunOutcome, num_new: int) -> None:
+        now = anyio.current_time()
+        if isinstance(outcome, RunFinished | RunFailed | RunBroken) and not run.is_moving:
+            self._failures.observe(run.worker_id, not isinstance(outcome, RunFinished), now)
+        if not isinstance(outcome, RunFinished):
+            self._log_ended(work, run, outcome, num_new)
+        _take.handle(self, outcome, work, run, now)
+
+    @_take.handler(RunFinished)
+    def _take_finished(self, outcome: RunFinished, work: ItemWork, run: Run, now: float) -> None:
+        self._log_finished(work, run, now)
+        self._on_whole(work)
+
+    @_take.handler(RunNeverPossible)
+    def _take_never_possible(self, outcome: RunNeverPossible, work: ItemWork, run: Run, now: float) -> None:
+        self._lister.give_up(work, "never_possible")
+
+    @_take.handler(RunFailed)
+    def _take_failed(self, outcome: RunFailed, work: ItemWork, run: Run, now: float) -> None:
+        work.text.num_failures += 1
+        work.failed_at.add(run.worker_id)
+        work.num_checkpointed = -1
+        work.avoid(run.worker_id, now + AVOID_AFTER_BREAK_SECONDS)
+        work.wait_until = now + FAILURE_PAUSE_SECONDS
+        if work.has_failed_for_good():
+            self._lister.give_up(work, "failed")
+
+    @_take.handler(RunNotBegun)
+    def _take_not_begun(self, outcome: RunNotBegun, work: ItemWork, run: Run, now: float) -> None:
+        if outcome.is_gone:
+            self._context.directory.mark_leaving(run.worker_id)
+            return
+        state = self._context.directory.get(run.worker_id)
+        work.avoid(run.worker_id, now + AVOID_AFTER_REFUSAL_SECONDS)
+        if state is not None and outcome.reason.startswith("unreachable"):
+            self._failures.observe(run.worker_id, is_failure=True, now=now)
+            state.avoid_until = now + AVOID_AFTER_BREAK_SECONDS
+
+    @_take.handler(RunWrongVersion)
+    def _take_wrong_version(self, outcome: RunWrongVersion, work: ItemWork, run: Run, now: float) -> None:
+        self._note_version(run.worker_id, work.model, outcome.version)
+        work.avoid(run.worker_id, now + AVOID_AFTER_REFUSAL_SECONDS)
+        self._drop_stale_text(work)
+
+    @_take.handler(RunBroken)
+    def _take_broken(self, outcome: RunBroken, work: ItemWork, run: Run, now: float) -> None:
+        if not run.is_moving:
+            work.avoid(run.worker_id, now + AVOID_AFTER_BREAK_SECONDS)
+
+    def _log_ended(self, work: ItemWork, run: Run, outcome: RunOutcome, num_new: int) -> None:
+        log = logger.debug if isinstance(outcome, RunNotBegun) else logger.info
+        log(
+            "item_run_ended",
+            item_id=work.item.item_id,
+            batch_id=work.key[0],
+            worker=run.worker_id,
+            outcome=type(outcome).__name__,
+            reason=str(outcome),
+            num_new_events=num_new,
+            num_events=len(work.text.pieces),
+        )
+
+    def _log_finished(self, work: ItemWork, run: Run, now: float) -> None:
+        logger.info(
+            "item_finished",
+            item_id=work.item.item_id,
+            batch_id=work.key[0],
+            worker=run.worker_id,
+            num_events=len(work.text.pieces),
+            num_expected_tokens=work.item.num_expected_tokens,
+            batch_age_seconds=round(self._context.time_of_day() - work.submitted_at, 3),
+            run_seconds=round(now - run.started_at, 3),
+            first_event_seconds=round((run.first_event_at or now) - run.started_at, 3),
+            longest_gap_seconds=round(run.longest_gap, 3),
+            num_run_events=run.num_events,
+            versions=",".join(str(version) for version in work.text.versions),
+        )
+
+    def _note_version(self, worker_id: str, model: str, version: int) -> None:
+        state = self._context.directory.get(worker_id)
+        if state is not None:
+            state.versions[model] = version
+
+    def _drop_stale_text(self, work: ItemWork) -> None:
+        """A text of one version that no worker has any more is begun anew."""
+        if not work.route.needs_one_version or not work.text.versions:
+            return
+        version = work.text.versions[0]
+        usable = self._context.directory.all_states()
+        if not any(state.versions.get(work.model) == version for state in usable):
+            work.text.clear()
--- /dev/null
+++ b/src/worksramp/rollout/item_scorer.py
@@ -0,0 +1,252 @@
+"""Has the whole texts of an owner's items scored: one good answer for each, then the item is listed."""
+
+import random
+from collections.abc import Callable
+
+import anyio
+import anyio.abc
+import structlog
+
+from worksramp.outcome_handlers import OutcomeHandlers
+from worksramp.rollout.batches import ScoringCall
+from worksramp.rollout.item_lister import ItemLister
+from worksramp.rollout.item_work import ItemWork, ScorerCall
+from worksramp.rollout.open_items import OpenItems
+from worksramp.rollout.owner_context import OwnerContext
+from worksramp.rollout.scoring_call import (
+    Scored,
+    ScoringFailed,
+    ScoringImpossible,
+    ScoringLost,
+    ScoringNotRun,
+    ScoringOutcome,
+    call_scorer,
+)
+from worksramp.rollout.scoring_schedule import ScorerPlace, UnscoredItem, assign_calls
+from worksramp.rollout.scoring_times import ScoringTimes
+from worksramp.routing.failure_tracker import FailureTracker
+from worksramp.routing.table import Route, RouteKind
+from worksramp.routing.workers import WorkerState
+
+TOLD_LOAD_VALID_S = 0.5
+AVOID_AFTER_REFUSAL_S = 0.05
+AVOID_AFTER_BREAK_S = 0.6
+#: What can never be answered well is asked again as rarely as this: a configuration may change the scorer.
+AVOID_AFTER_IMPOSSIBLE_S = 2.0
+#: Calls of one item under way at a time: the first, and one for it when it is late.
+MAX_CALLS_AT_ONCE = 2
+LATENCY_SMOOTHING = 0.2
+
+logger = structlog.get_logger()
+
+_take = OutcomeHandlers["ItemScorer", ScoringOutcome]()
+
+
+class ItemScorer:
+    """Sends scoring calls for an owner.
+
+    Args:
+        failures: what is known of workers that fail part of what they get.
+        wake: has the owner look again at once.
+    """
+
+    def __init__(
+        self,
+        context: OwnerContext,
+        items: OpenItems,
+        failures: FailureTracker,
+        lister: ItemLister,
+        wake: Callable[[], None],
+    ) -> None:
+        self._context = context
+        self._items = items
+        self._failures = failures
+        self._lister = lister
+        self._wake = wake
+        self._times = ScoringTimes()
+        self._source = random.Random()
+
+    def look(self, group: anyio.abc.TaskGroup) -> None:
+        """Send what may be sent now, and close calls whose workers hang."""
+        unscored = self._items.unscored()
+        if not unscored:
+            return
+        now = anyio.current_time()
+        waiting: list[UnscoredItem] = []
+        num_left = self._items.num_left_by_group()
+        for work in unscored:
+            route = self._route(work)
+            if route is None:
+                continue
+            self._note_late_calls(work, route, now)
+            if self._may_call(work):
+                waiting.append(
+                    self._unscored_item(work, route, num_left[work.key[0], self._items.group(work)], now)
+                )
+        for assignment in assign_calls(waiting, self._places(now) if waiting else []):
+            self._start(group, self._items.works[assignment.key], assignment.worker_id, now)
+
+    # Views.
+
+    def _route(self, work: ItemWork) -> Route | None:
+        """Return the route of an item's scoring call; while there is none, the item waits for one."""
+        table = self._context.table.current
+        call = work.item.scoring_call
+        if table is None or call is None:
+            return None
+        route = table.match(call.host, call.target.partition("?")[0])
+        return None if route is None or route.kind is RouteKind.BATCH else route
+
+    def _may_call(self, work: ItemWork) -> bool:
+        calls = work.scoring.calls
+        return len(calls) < MAX_CALLS_AT_ONCE and all(call.is_late for call in calls)
+
+    def _note_late_calls(self, work: ItemWork, route: Route, now: float) -> None:
+        for call in work.scoring.calls:
+            silent_s = now - call.started_at
+            call.is_late = silent_s > self._times.late_after_s(route.objective_seconds)
+            if silent_s > self._times.hanging_after_s(route.objective_seconds):
+                call.scope.cancel()
+
+    def _unscored_item(self, work: ItemWork, route: Route, num_group_left: int, now: float) -> UnscoredItem:
+        scoring = work.scoring
+        if scoring.whole_at is None:
+            scoring.whole_at = now
+        return UnscoredItem(
+            key=work.key,
+            service=route.choose_service(self._source),
+            batch_age_s=self._context.time_of_day() - work.submitted_at,
+            num_group_left=num_group_left,
+            waiting_s=now - scoring.whole_at,
+            avoided=scoring.avoided_now(now),
+        )
+
+    def _places(self, now: float) -> list[ScorerPlace]:
+        table = self._context.table.current
+        if table is None:
+            return []
+        num_calls: dict[str, int] = {}
+        for work in self._items.works.values():
+            for call in work.scoring.calls:
+                num_calls[call.worker_id] = num_calls.get(call.worker_id, 0) + 1
+        suspects = self._failures.suspects(now)
+        return [
+            ScorerPlace(
+                worker_id=state.entry.worker_id,
+                service=service,
+                num_slots=state.entry.num_slots,
+                num_calls=num_calls.get(state.entry.worker_id, 0),
+                num_told_waiting=state.told_waiting if now - state.told_at < TOLD_LOAD_VALID_S else 0,
+                latency_s=state.latency_seconds,
+                is_suspect=state.entry.worker_id in suspects,
+            )
+            for service in table.services
+            for state in self._context.directory.usable(service)
+            if state.avoid_until <= now
+        ]
+
+    # Calls.
+
+    def _start(self, group: anyio.abc.TaskGroup, work: ItemWork, worker_id: str, now: float) -> None:
+        state = self._context.directory.get(worker_id)
+        scoring_call = work.item.scoring_call
+        if state is None or scoring_call is None:
+            return
+        scoring = work.scoring
+        if scoring.ends_at <= now:
+            scoring.ends_at = now + work.route.target_seconds
+        call = ScorerCall(worker_id, anyio.CancelScope(), now)
+        scoring.calls.append(call)
+        scoring.num_calls += 1
+        group.start_soon(self._call, work, scoring_call, state, call)
+
+    async def _call(
+        self, work: ItemWork, scoring_call: ScoringCall, state: WorkerState, call: ScorerCall
+    ) -> None:
+        deadline_s = work.scoring.ends_at - call.started_at
+        outcome: ScoringOutcome = ScoringLost("closed")
+        state.num_in_flight += 1
+        try:
+            with call.scope:
+                answer = await call_scorer(self._context.port, state.entry, scoring_call, deadline_s)
+                outcome = answer.outcome
+                if answer.load is not None:
+                    state.told_running, state.told_waiting = answer.load.num_running, answer.load.num_waiting
+                    state.told_at = anyio.current_time()
+        finally:
+            state.num_in_flight -= 1
+            work.scoring.calls.remove(call)
+        self._context.on_scoring_ended(type(outcome).__name__)
+        if work.needs_score:
+            self._take_outcome(work, call, outcome)
+        self._wake()
+
+    def _take_outcome(self, work: ItemWork, call: ScorerCall, outcome: ScoringOutcome) -> None:
+        now = anyio.current_time()
+        log = logger.debug if isinstance(outcome, ScoringNotRun) else logger.info
+        log(
+            "scoring_call_ended",
+            item_id=work.item.item_id,
+            batch_id=work.key[0],
+            call_id=work.item.scoring_call.call_id if work.item.scoring_call else "",
+            worker=call.worker_id,
+            outcome=type(outcome).__name__,
+            reason=getattr(outcome, "reason", ""),
+            num_calls=work.scoring.num_calls,
+            seconds=round(now - call.started_at, 3),
+            whole_seconds=round(now - (work.scoring.whole_at or now), 3),
+        )
+        _take.handle(self, outcome, work, call, now)
+
+    @_take.handler(Scored)
+    def _take_scored(self, outcome: Scored, work: ItemWork, call: ScorerCall, now: float) -> None:
+        seconds = now - call.started_at
+        self._times.observe(seconds)
+        self._failures.observe(call.worker_id, is_failure=False, now=now)
+        state = self._context.directory.get(call.worker_id)
+        if state is not None:
+            before_s = state.latency_seconds
+            state.latency_seconds = (
+                seconds if before_s is None else before_s + LATENCY_SMOOTHING * (seconds - before_s)
+            )
+            state.latency_at = now
+        work.text.score = outcome.score
+        work.scoring.cancel()
+        self._lister.complete(work)
+
+    @_take.handler(ScoringNotRun)
+    def _take_not_run(self, outcome: ScoringNotRun, work: ItemWork, call: ScorerCall, now: float) -> None:
+        if outcome.is_gone:
+            self._context.directory.mark_leaving(call.worker_id)
+            return
+        work.scoring.avoided[call.worker_id] = now + AVOID_AFTER_REFUSAL_S
+        state = self._context.directory.get(call.worker_id)
+        if state is None:
+            return
+        if outcome.is_unreachable:
+            self._failures.observe(call.worker_id, is_failure=True, now=now)
+            state.avoid_until = now + AVOID_AFTER_BREAK_S
+        else:
+            state.avoid_until = now + AVOID_AFTER_REFUSAL_S
+
+    @_take.handler(ScoringLost)
+    def _take_lost(self, outcome: ScoringLost, work: ItemWork, call: ScorerCall, now: float) -> None:
+        self._failures.observe(call.worker_id, is_failure=True, now=now)
+        work.scoring.avoided[call.worker_id] = now + AVOID_AFTER_BREAK_S
+
+    @_take.handler(ScoringFailed)
+    def _take_failed(self, outcome: ScoringFailed, work: ItemWork, call: ScorerCall, now: float) -> None:
+        self._failures.observe(call.worker_id, is_failure=True, now=now)
+        work.text.num_scoring_failures += 1
+        work.num_checkpointed = -1
+        work.scoring.failed_at.add(call.worker_id)
+        work.scoring.avoided[call.worker_id] = now + AVOID_AFTER_BREAK_S
+        route = self._route(work)
+        if route is not None and work.has_scoring_failed_for_good(route.max_attempts):
+            self._lister.give_up(work, "scoring_failed")
+
+    @_take.handler(ScoringImpossible)
+    def _take_impossible(
+        self, outcome: ScoringImpossible, work: ItemWork, call: ScorerCall, now: float
+    ) -> None:
+        work.scoring.avoided[call.worker_id] = now + AVOID_AFTER_IMPOSSIBLE_S
--- a/src/worksramp/rollout/item_work.py
+++ b/src/worksramp/rollout/item_work.py
@@ -1,4 +1,4 @@
-"""Open items of an owner's batches: what waits, what runs, and the text that each has so far."""
+"""Open items of an owner's batches: what waits, what runs, what is scored, and the text so far."""
 
 from dataclasses import dataclass, field
 
@@ -42,6 +42,51 @@
         self.last_event_at = now
 
 
+@dataclass(slots=True)
+class ScorerCall:
+    """A scoring call under way.
+
+    Attributes:
+        is_late: another worker has been asked meanwhile.
+    """
+
+    worker_id: str
+    scope: anyio.CancelScope
+    started_at: float
+    is_late: bool = False
+
+
+@dataclass(slots=True)
+class Scoring:
+    """What has become of an item's scoring so far.
+
+    Attributes:
+        whole_at: when its text was whole, None before.
+        calls: those under way.
+        avoided: workers not to be asked, each until a time.
+        failed_at: workers that answered with an error of their own.
+        ends_at: what workers are told to keep to, one time for all calls until it has passed.
+        num_calls: calls sent.
+    """
+
+    whole_at: float | None = None
+    calls: list[ScorerCall] = field(default_factory=list)
+    avoided: dict[str, float] = field(default_factory=dict)
+    failed_at: set[str] = field(default_factory=set)
+    ends_at: float = float("-inf")
+    num_calls: int = 0
+
+    def avoided_now(self, now: float) -> frozenset[str]:
+        """Return the workers that must not be asked."""
+        avoided = {worker_id for worker_id, until in self.avoided.items() if until > now}
+        return frozenset(avoided | {call.worker_id for call in self.calls})
+
+    def cancel(self) -> None:
+        """Close all calls."""
+        for call in self.calls:
+            call.scope.cancel()
+
+
 @dataclass(slots=True)
 class ItemWork:
     """One item that is not listed yet.
@@ -65,6 +110,36 @@
     failed_at: set[str] = field(default_factory=set)
     num_checkpointed: int = 0
     is_done: bool = False
+    scoring: Scoring = field(default_factory=Scoring)
+
+    @property
+    def needs_run(self) -> bool:
+        """Whether the item waits for a place at a worker."""
+        return self.run is None and not self.is_done and not self.text.is_whole
+
+    @property
+    def needs_score(self) -> bool:
+        """Whether the text is whole and the item waits for its score alone."""
+        return self.text.is_whole and not self.is_done and not self.is_scored
+
+    @property
+    def is_scored(self) -> bool:
+        """Whether the text has the score that the item asks for, or asks for none."""
+        call = self.item.scoring_call
+        return call is None or (self.text.score is not None and self.text.score.call_id == call.call_id)
+
+    def has_scoring_failed_for_good(self, max_attempts: int) -> bool:
+        """Return whether the call, rather than a scorer, is to blame for its failures."""
+        num_failures = self.text.num_scoring_failures
+        return num_failures >= max_attempts and (
+            len(self.scoring.failed_at) >= max_attempts or num_failures >= 2 * max_attempts
+        )
+
+    def stop(self) -> None:
+        """Close the run and all scoring calls."""
+        if self.run is not None:
+            self.run.scope.cancel()
+        self.scoring.cancel()
 
     def has_failed_for_good(self) -> bool:
         """Return whether the item, rather than a worker, is to blame for its failures.
@@ -95,7 +170,7 @@
         return TextBuilder()
     text = TextBuilder.from_text(kept)
     if kept.batch_id != batch.header.batch_id:
-        text.num_failures = 0
+        text.num_failures, text.num_scoring_failures = 0, 0
     is_too_old = any(version < batch.header.min_version for version in text.versions)
     if is_too_old or (route.needs_one_version and len(text.versions) > 1):
         text.clear()
--- a/src/worksramp/rollout/open_items.py
+++ b/src/worksramp/rollout/open_items.py
@@ -1,6 +1,6 @@
 """Open items of an owner, and the views of them that decisions are made from."""
 
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Iterable
 
 import anyio
@@ -38,7 +38,20 @@
 
     def waiting(self) -> list[ItemWork]:
         """Return the items that no worker runs."""
-        return [work for work in self.works.values() if work.run is None and not work.is_done]
+        return [work for work in self.works.values() if work.needs_run]
+
+    def unscored(self) -> list[ItemWork]:
+        """Return the items whose texts are whole and wait for their scores."""
+        return [work for work in self.works.values() if work.needs_score]
+
+    def num_left_by_group(self) -> Counter[tuple[str, str]]:
+        """Return how many items of each batch and group are not listed yet."""
+        return Counter((batch_id, self.group(work)) for (batch_id, _), work in self.works.items())
+
+    def group(self, work: ItemWork) -> str:
+        """Return an item's group, empty text for none."""
+        batch_id, idx = work.key
+        return self._context.ledger.batches[batch_id].header.groups[idx]
 
     def host(self, work: ItemWork) -> str:
         """Return the host that an item's batch was sent to."""
@@ -75,8 +88,8 @@
 
     def _model_work(self, model: str, works: list[ItemWork]) -> ModelWork:
         return ModelWork(
-            num_waiting=sum(1 for work in works if work.run is None),
-            min_version=max((work.min_version for work in works), default=0),
+            num_waiting=sum(1 for work in works if work.needs_run),
+            min_version=max((work.min_version for work in works if not work.text.is_whole), default=0),
             has_one_version_work=any(work.route.needs_one_version for work in works),
             num_step_items=max(len(works), *self._step_sizes.get(model, ()), 0),
         )
--- a/src/worksramp/rollout/owner_context.py
+++ b/src/worksramp/rollout/owner_context.py
@@ -35,6 +35,7 @@
         status_seconds: age until which the results of an ended batch are kept.
         time_of_day: seconds, as batches are stamped.
         on_run_ended: told the class of each run's outcome.
+        on_scoring_ended: told the class of each scoring call's outcome.
         on_listed: told the age of the batch, in seconds, at each listing.
     """
 
@@ -49,4 +50,5 @@
     status_seconds: float
     time_of_day: Callable[[], float] = time.time
     on_run_ended: Callable[[str], None] = _ignore
+    on_scoring_ended: Callable[[str], None] = _ignore
     on_listed: Callable[[float], None] = _ignore
--- a/src/worksramp/rollout/result_writer.py
+++ b/src/worksramp/rollout/result_writer.py
@@ -34,7 +34,9 @@
         """Return the record that lists it."""
         result = self.result
         sizes_b = tuple(len(record.value) for record in self.records)
-        record = ResultRecord(result.item_id, result.is_completed, result.versions, epoch, offsets, sizes_b)
+        record = ResultRecord(
+            result.item_id, result.is_completed, result.versions, epoch, offsets, sizes_b, result.score
+        )
         return record_of_result(self.batch_id, self.position, record)
 
 
--- a/src/worksramp/rollout/run_watch.py
+++ b/src/worksramp/rollout/run_watch.py
@@ -39,7 +39,7 @@
         typical = self._pace.typical_seconds(now)
         places = self._items.places(now)
         # Where items wait for a place, a move would only change who waits.
-        num_moves = MAX_MOVES_A_TICK if any(work.run is None for work in self._items.works.values()) else 0
+        num_moves = MAX_MOVES_A_TICK if self._items.waiting() else 0
         for work in list(self._items.works.values()):
             run = work.run
             if run is None or run.is_moving or run.worker_id in self._items.loading:
--- a/src/worksramp/rollout/text_keeper.py
+++ b/src/worksramp/rollout/text_keeper.py
@@ -90,6 +90,10 @@
         for work in self._items.works.values():
             self.checkpoint_item(work, min_new_pieces)
 
+    def checkpoint_soon(self, work: ItemWork) -> None:
+        """Have a text written with the next ones, however little it has grown."""
+        work.num_checkpointed = -1
+
     def checkpoint_item(self, work: ItemWork, min_new_pieces: int) -> None:
         """Have one text written if it has grown by so many pieces, or if a failure was counted."""
         num_pieces = len(work.text.pieces)
--- a/src/worksramp/routing/worker_port.py
+++ b/src/worksramp/routing/worker_port.py
@@ -52,7 +52,7 @@
         is_not_run: the worker says that it has not run the request.
         is_other_worker: another worker has the address now.
         is_leaving: the worker said that it takes no more.
-        is_signed: it carries the worker's signature.
+        signature: the worker's, None when the answer carries none.
         weight_version: version that makes the first events, None when not told.
     """
 
@@ -61,11 +61,16 @@
     is_not_run: bool
     is_other_worker: bool
     is_leaving: bool
-    is_signed: bool
+    signature: str | None
     load: ToldLoad | None
     weight_version: int | None
     body: AsyncIterator[bytes]
 
+    @property
+    def is_signed(self) -> bool:
+        """Whether a worker made the answer."""
+        return self.signature is not None
+
 
 class WorkerUnreachableError(Exception):
     """No connection came up: not a byte of the request was sent."""
--- a/src/worksramp_emulator/batch_fleet.py
+++ b/src/worksramp_emulator/batch_fleet.py
@@ -183,7 +183,7 @@
             is_not_run=is_not_run,
             is_other_worker=False,
             is_leaving=False,
-            is_signed=not is_not_run,
+            signature=None if is_not_run else worker.entry.worker_id,
             load=None,
             weight_version=worker.versions.get(self._model, 0),
             body=self._events(worker, request),
--- a/tests/unit/test_forward.py
+++ b/tests/unit/test_forward.py
@@ -63,7 +63,7 @@
                 is_not_run=script.kind in ("full", "other"),
                 is_other_worker=script.kind == "other",
                 is_leaving=False,
-                is_signed=True,
+                signature="stamp",
                 load=None,
                 weight_version=None,
                 body=self._body(script),
