--- a/src/worksramp/edge/shard.py
+++ b/src/worksramp/edge/shard.py
@@ -113,6 +113,11 @@
         """Whether this node holds the lease, as far as it knows."""
         return self._owner is not None
 
+    @property
+    def owner(self) -> BatchOwner | None:
+        """What runs the shard's batches here, None while another node owns them."""
+        return self._owner
+
     @property
     def epoch(self) -> int:
         """Epoch of the lease that this node holds, 0 when it holds none."""
--- a/src/worksramp/rollout/batch_owner.py
+++ b/src/worksramp/rollout/batch_owner.py
@@ -86,6 +86,11 @@
         await self._texts.flush()
         await self._results.wait_drained()
 
+    @property
+    def num_unwritten_results(self) -> int:
+        """Listed items whose texts are not known to be in the store."""
+        return self._results.num_waiting
+
     # Batches.
 
     def _take_batches(self) -> None:
--- a/src/worksramp/rollout/item_scorer.py
+++ b/src/worksramp/rollout/item_scorer.py
@@ -32,7 +32,9 @@
 AVOID_AFTER_REFUSAL_S = 0.05
 AVOID_AFTER_BREAK_S = 0.6
 #: What can never be answered well is asked again as rarely as this: a configuration may change the scorer.
-AVOID_AFTER_IMPOSSIBLE_S = 2.0
+IMPOSSIBLE_PAUSE_S = 2.0
+#: After an error or a lost answer, before the next call of the same item.
+FAILURE_PAUSE_S = 0.05
 #: Calls of one item under way at a time: the first, and one for it when it is late.
 MAX_CALLS_AT_ONCE = 2
 LATENCY_SMOOTHING = 0.2
@@ -79,7 +81,7 @@
             if route is None:
                 continue
             self._note_late_calls(work, route, now)
-            if self._may_call(work):
+            if self._may_call(work, now):
                 waiting.append(
                     self._unscored_item(work, route, num_left[work.key[0], self._items.group(work)], now)
                 )
@@ -97,9 +99,13 @@
         route = table.match(call.host, call.target.partition("?")[0])
         return None if route is None or route.kind is RouteKind.BATCH else route
 
-    def _may_call(self, work: ItemWork) -> bool:
+    def _may_call(self, work: ItemWork, now: float) -> bool:
         calls = work.scoring.calls
-        return len(calls) < MAX_CALLS_AT_ONCE and all(call.is_late for call in calls)
+        return (
+            work.scoring.wait_until <= now
+            and len(calls) < MAX_CALLS_AT_ONCE
+            and all(call.is_late for call in calls)
+        )
 
     def _note_late_calls(self, work: ItemWork, route: Route, now: float) -> None:
         for call in work.scoring.calls:
@@ -118,7 +124,8 @@
             batch_age_s=self._context.time_of_day() - work.submitted_at,
             num_group_left=num_group_left,
             waiting_s=now - scoring.whole_at,
-            avoided=scoring.avoided_now(now),
+            avoided=scoring.asked_now(),
+            last_resorts=scoring.last_resorts_now(now),
         )
 
     def _places(self, now: float) -> list[ScorerPlace]:
@@ -219,7 +226,7 @@
         if outcome.is_gone:
             self._context.directory.mark_leaving(call.worker_id)
             return
-        work.scoring.avoided[call.worker_id] = now + AVOID_AFTER_REFUSAL_S
+        work.scoring.last_resorts[call.worker_id] = now + AVOID_AFTER_REFUSAL_S
         state = self._context.directory.get(call.worker_id)
         if state is None:
             return
@@ -232,7 +239,8 @@
     @_take.handler(ScoringLost)
     def _take_lost(self, outcome: ScoringLost, work: ItemWork, call: ScorerCall, now: float) -> None:
         self._failures.observe(call.worker_id, is_failure=True, now=now)
-        work.scoring.avoided[call.worker_id] = now + AVOID_AFTER_BREAK_S
+        work.scoring.last_resorts[call.worker_id] = now + AVOID_AFTER_BREAK_S
+        work.scoring.wait_until = now + FAILURE_PAUSE_S
 
     @_take.handler(ScoringFailed)
     def _take_failed(self, outcome: ScoringFailed, work: ItemWork, call: ScorerCall, now: float) -> None:
@@ -240,7 +248,8 @@
         work.text.num_scoring_failures += 1
         work.num_checkpointed = -1
         work.scoring.failed_at.add(call.worker_id)
-        work.scoring.avoided[call.worker_id] = now + AVOID_AFTER_BREAK_S
+        work.scoring.last_resorts[call.worker_id] = now + AVOID_AFTER_BREAK_S
+        work.scoring.wait_until = now + FAILURE_PAUSE_S
         route = self._route(work)
         if route is not None and work.has_scoring_failed_for_good(route.max_attempts):
             self._lister.give_up(work, "scoring_failed")
@@ -249,4 +258,4 @@
     def _take_impossible(
         self, outcome: ScoringImpossible, work: ItemWork, call: ScorerCall, now: float
     ) -> None:
-        work.scoring.avoided[call.worker_id] = now + AVOID_AFTER_IMPOSSIBLE_S
+        work.scoring.wait_until = now + IMPOSSIBLE_PAUSE_S
--- a/src/worksramp/rollout/item_work.py
+++ b/src/worksramp/rollout/item_work.py
@@ -63,7 +63,8 @@
     Attributes:
         whole_at: when its text was whole, None before.
         calls: those under way.
-        avoided: workers not to be asked, each until a time.
+        last_resorts: workers to be asked after all others, each until a time.
+        wait_until: no call goes out before.
         failed_at: workers that answered with an error of their own.
         ends_at: what workers are told to keep to, one time for all calls until it has passed.
         num_calls: calls sent.
@@ -71,15 +72,19 @@
 
     whole_at: float | None = None
     calls: list[ScorerCall] = field(default_factory=list)
-    avoided: dict[str, float] = field(default_factory=dict)
+    last_resorts: dict[str, float] = field(default_factory=dict)
+    wait_until: float = float("-inf")
     failed_at: set[str] = field(default_factory=set)
     ends_at: float = float("-inf")
     num_calls: int = 0
 
-    def avoided_now(self, now: float) -> frozenset[str]:
-        """Return the workers that must not be asked."""
-        avoided = {worker_id for worker_id, until in self.avoided.items() if until > now}
-        return frozenset(avoided | {call.worker_id for call in self.calls})
+    def last_resorts_now(self, now: float) -> frozenset[str]:
+        """Return the workers to be asked after all others."""
+        return frozenset(worker_id for worker_id, until in self.last_resorts.items() if until > now)
+
+    def asked_now(self) -> frozenset[str]:
+        """Return the workers that have a call of the item."""
+        return frozenset(call.worker_id for call in self.calls)
 
     def cancel(self) -> None:
         """Close all calls."""
--- a/src/worksramp/rollout/scoring_schedule.py
+++ b/src/worksramp/rollout/scoring_schedule.py
@@ -22,6 +22,7 @@
         num_group_left: items of its group that are not listed yet.
         waiting_s: since its text was whole.
         avoided: workers it must not go to now.
+        last_resorts: workers it goes to after all others.
     """
 
     key: tuple[str, int]
@@ -30,6 +31,7 @@
     num_group_left: int
     waiting_s: float
     avoided: frozenset[str] = frozenset()
+    last_resorts: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
@@ -91,9 +93,13 @@
     ]
     if not candidates:
         return None
-    return min(candidates, key=_place_rank)
-
-
-def _place_rank(place: ScorerPlace) -> tuple[bool, float, float, str]:
-    load = (place.num_calls + place.num_told_waiting) / max(1, place.num_slots)
-    return (place.is_suspect, load, place.latency_s or 0.0, place.worker_id)
+    return min(
+        candidates,
+        key=lambda place: (
+            place.worker_id in item.last_resorts,
+            place.is_suspect,
+            (place.num_calls + place.num_told_waiting) / max(1, place.num_slots),
+            place.latency_s or 0.0,
+            place.worker_id,
+        ),
+    )
--- a/src/worksramp_emulator/batch_fleet.py
+++ b/src/worksramp_emulator/batch_fleet.py
@@ -29,6 +29,8 @@
 from worksramp.routing.workers import WorkerEntry
 
 VERSION_FIELD = "weight-version"
+#: What a scorer needs for one call.
+SCORING_S = 0.03
 LOAD_SECONDS = 0.9
 SILENT_CALL_SECONDS = 0.8
 MIN_EVENTS, MAX_EVENTS = 4, 30
@@ -60,16 +62,32 @@
     version: int
 
 
+@dataclass(frozen=True, slots=True)
+class CallSeen:
+    """A scoring call as it reached a scorer.
+
+    Attributes:
+        signature: of the answer that the scorer made, empty text when that was no good one.
+    """
+
+    at: float
+    worker_id: str
+    call_id: str
+    signature: str
+
+
 @dataclass(slots=True)
 class FleetWorker:
     """One worker.
 
     Attributes:
+        is_scorer: it answers scoring calls and runs no items.
         seconds_per_event: its pace.
         is_dark: it answers nothing and its runs stand still.
         late_orders: share of orders that are not answered and carried out later.
         break_share: share of events at which a run breaks off.
         fail_share: share of runs that it ends with an error of its own.
+        failing_items: ids of items or scoring calls that it ends with an error each time.
     """
 
     entry: WorkerEntry
@@ -77,6 +95,7 @@
     versions: dict[str, int] = field(default_factory=dict)
     is_dark: bool = False
     is_gone: bool = False
+    is_scorer: bool = False
     late_orders: float = 0.0
     break_share: float = 0.0
     fail_share: float = 0.0
@@ -95,7 +114,9 @@
         self.workers: dict[str, FleetWorker] = {}
         self.orders: list[OrderSeen] = []
         self.runs: list[tuple[float, str, str, str]] = []
+        self.calls: list[CallSeen] = []
         self.made_versions: dict[tuple[str, int], set[int]] = {}
+        self.made_at: dict[tuple[str, int], list[tuple[float, int]]] = {}
         self.source = source
         self._background = background
 
@@ -160,6 +181,10 @@
         if target.num_running >= target.entry.num_slots or target.loading == self._model:
             yield self._answer(503, target, request, is_not_run=True)
             return
+        if target.is_scorer:
+            async with self._scored(target, request) as answer:
+                yield answer
+            return
         self._fleet.runs.append((anyio.current_time(), self._node, worker.worker_id, request.request_id))
         if request.request_id in target.impossible_items:
             yield self._answer(422, target, request)
@@ -174,6 +199,36 @@
         finally:
             target.num_running -= 1
 
+    @asynccontextmanager
+    async def _scored(self, target: FleetWorker, request: WorkerRequest) -> AsyncIterator[WorkerAnswer]:
+        fleet, call_id = self._fleet, request.request_id
+        is_bad = call_id in target.failing_items or fleet.source.random() < target.fail_share
+        signature = "" if is_bad else f"{target.entry.worker_id}.{call_id}.{len(fleet.calls)}"
+        fleet.calls.append(CallSeen(anyio.current_time(), target.entry.worker_id, call_id, signature))
+        target.num_running += 1
+        try:
+            await anyio.sleep(SCORING_S)
+            while target.is_dark:
+                await anyio.sleep(SCORING_S)
+            if target.is_gone or fleet.source.random() < target.break_share:
+                raise WorkerAnswerBrokenError(target.entry.worker_id)
+            yield WorkerAnswer(
+                status=500 if is_bad else 200,
+                headers=(),
+                is_not_run=False,
+                is_other_worker=False,
+                is_leaving=False,
+                signature=signature or target.entry.worker_id,
+                load=None,
+                weight_version=None,
+                body=self._no_body(),
+            )
+        finally:
+            target.num_running -= 1
+
+    async def _no_body(self) -> AsyncIterator[bytes]:
+        yield b"scored"
+
     def _answer(
         self, status: int, worker: FleetWorker, request: WorkerRequest, is_not_run: bool = False
     ) -> WorkerAnswer:
@@ -207,6 +262,7 @@
                 yield block[: len(block) // 2]
                 raise WorkerAnswerBrokenError(worker.entry.worker_id)
             self._fleet.made_versions.setdefault((item_id, number), set()).add(version)
+            self._fleet.made_at.setdefault((item_id, number), []).append((anyio.current_time(), version))
             yield block
 
     async def order_version(self, worker: WorkerEntry, order: VersionOrder) -> OrderOutcome:
--- a/src/worksramp_emulator/simulation/batch_checkers.py
+++ b/src/worksramp_emulator/simulation/batch_checkers.py
@@ -1,15 +1,19 @@
 """What must hold over the whole record of a simulated deployment of batches."""
 
-from worksramp.rollout.batches import ResultRecord
+from worksramp.rollout.batches import BatchResult, ResultRecord
 from worksramp.wire import decode
 from worksramp_emulator.batch_fleet import num_events_of, whole_text
-from worksramp_emulator.simulation.batch_world import BatchWorld, StepRecord
+from worksramp_emulator.simulation.batch_world import BatchWorld, StepRecord, call_of
+
+#: Scoring calls may still reach a scorer this long after the end of their batch.
+CANCEL_S = 3.0
 
 
 def check_all(world: BatchWorld, lease_seconds: float) -> list[str]:
     """Return every violation found, as sentences."""
     violations = check_positions(world)
     violations += check_orders(world, lease_seconds)
+    violations += check_calls(world)
     for step in world.steps:
         violations += check_step(world, step)
     return violations
@@ -52,6 +56,7 @@
     """What a trainer read is whole, its own, made under versions it allows, and names them truly."""
     found: list[str] = []
     for position, result in step.results.items():
+        found += check_score(world, step, position, result)
         if result.item_id not in step.item_ids:
             found.append(f"{step.batch_id} lists {result.item_id} of another batch")
         if not result.is_completed:
@@ -71,3 +76,47 @@
         if set(result.versions) - set().union(*made):
             found.append(f"{step.batch_id}/{position}: {result.versions} names a version that made nothing")
     return found
+
+
+def whole_at(world: BatchWorld, item_id: str, versions: tuple[int, ...] | None = None) -> float:
+    """Return when a whole text of an item was first made, infinity for never.
+
+    Args:
+        versions: those that the last event may come from, None for any.
+    """
+    made = world.fleet.made_at.get((item_id, num_events_of(item_id) - 1), [])
+    return min((at for at, version in made if versions is None or version in versions), default=float("inf"))
+
+
+def check_score(world: BatchWorld, step: StepRecord, position: int, result: BatchResult) -> list[str]:
+    """A completed result carries a good answer to its own call, asked for after the text was whole."""
+    place = f"{step.batch_id}/{position}"
+    if not world.spec.has_scoring or not result.is_completed:
+        return [] if result.score is None else [f"{place}: has a score that nobody asked for"]
+    if result.score is None:
+        return [f"{place}: {result.item_id} has no score"]
+    calls = {call.signature: call for call in world.fleet.calls if call.signature}
+    call = calls.get(result.score.signature)
+    if call is None:
+        return [f"{place}: no scorer made the score {result.score.signature}"]
+    if call.call_id != call_of(result.item_id):
+        return [f"{place}: {result.item_id} has the score of {call.call_id}"]
+    if call.at < whole_at(world, result.item_id, result.versions):
+        return [f"{place}: {result.item_id} was scored at {call.at} before its text was whole"]
+    return []
+
+
+def check_calls(world: BatchWorld) -> list[str]:
+    """No call goes out before its text is whole, nor after all batches of its item have ended."""
+    found: list[str] = []
+    for call in world.fleet.calls:
+        steps = [step for step in world.steps if call.call_id in map(call_of, step.item_ids)]
+        if not steps:
+            found.append(f"nobody asked for {call.call_id}")
+            continue
+        item_id = next(item_id for item_id in steps[0].item_ids if call_of(item_id) == call.call_id)
+        if call.at < whole_at(world, item_id):
+            found.append(f"{call.call_id} went out at {call.at} before the text was whole")
+        if all(step.ended_at is not None and call.at > step.ended_at + CANCEL_S for step in steps):
+            found.append(f"{call.call_id} went out at {call.at}, too long after the end of its batch")
+    return found
