Where the time of an item goes: seconds in each stage in the logs, and a report of late groups from them

Change: each item's clock of stages (waiting, running, scoring), logged when it is listed or left; worksramp steps FILE... prints steps, when each was whole, and lost groups by the stage of their last item.

--- a/src/worksramp/cli.py
+++ b/src/worksramp/cli.py
@@ -18,6 +18,7 @@
 from worksramp.node.main import run_node
 from worksramp.settings import load_settings
 from worksramp.settings_error import SettingsError
+from worksramp.step_report import report
 
 EXIT_REFUSED = 1
 EXIT_USAGE = 2
@@ -123,6 +124,21 @@
         """Print a node's state: members, shards it serves, requests in flight."""
         print(_Api(node, key).request("GET", "/v1/status").decode())
 
+    def steps(self, *files: str, grace_s: float = 0.0) -> None:
+        """Print from nodes' log files which groups of which steps were late, and in which stage.
+
+        Example: ``worksramp steps node-1.log node-2.log --grace_s 0.7``
+        """
+        if not files:
+            _fail(EXIT_USAGE, "files: name at least one log file")
+        lines: list[str] = []
+        for file in files:
+            try:
+                lines += Path(str(file)).read_text(encoding="utf-8", errors="replace").splitlines()
+            except OSError as error:
+                _fail(EXIT_USAGE, f"{file}: {error}")
+        print(report(lines, grace_s))
+
     def drain(self, node: str, key: str) -> None:
         """Tell a node to leave in order."""
         print(_Api(node, key).request("POST", "/v1/drain").decode())
--- a/src/worksramp/rollout/batch_owner.py
+++ b/src/worksramp/rollout/batch_owner.py
@@ -19,6 +19,7 @@
 from worksramp.rollout.pace import PaceTracker
 from worksramp.rollout.result_writer import ResultWriter
 from worksramp.rollout.run_watch import RunWatch
+from worksramp.rollout.stage_clock import Stage
 from worksramp.rollout.text_keeper import TextKeeper
 from worksramp.routing.failure_tracker import FailureTracker
 from worksramp.routing.table import Route
@@ -98,7 +99,7 @@
         for batch_id, batch in list(ledger.batches.items()):
             route = self._route(batch)
             if batch.is_ended:
-                self._drop_batch(batch_id)
+                self._drop_batch(batch_id, batch)
             elif batch_id not in self._seen_batches and route is not None:
                 self._seen_batches.add(batch_id)
                 assert self._group is not None
@@ -142,6 +143,9 @@
             step=batch.header.step,
             model=batch.header.model,
             min_version=batch.header.min_version,
+            num_wanted_groups=batch.header.num_wanted_groups,
+            target_s=route.target_seconds,
+            age_s=round(self._context.time_of_day() - batch.header.submitted_at, 3),
             num_items=len(batch.header.item_ids),
             num_listed=len(batch.listed),
             num_reused=num_reused,
@@ -149,15 +153,24 @@
         )
         self.wake()
 
-    def _drop_batch(self, batch_id: str) -> None:
+    def _drop_batch(self, batch_id: str, batch: Batch) -> None:
         if batch_id not in self._seen_batches:
             return
         self._seen_batches.discard(batch_id)
         num_cut = 0
+        now = anyio.current_time()
         for work in self.items.of_batch(batch_id):
             del self.items.works[work.key]
             work.is_done = True
             num_cut += work.run is not None
+            logger.info(
+                "item_left",
+                group=batch.header.groups[work.key[1]],
+                stage=work.clock.stage.value,
+                worker="" if work.run is None else work.run.worker_id,
+                num_expected_tokens=work.item.num_expected_tokens,
+                **work.log_fields(now),
+            )
             work.stop()
             self._texts.leave(work)
         logger.info("batch_ended", batch_id=batch_id, num_cut=num_cut)
@@ -174,4 +187,5 @@
         if work.is_scored:
             self._lister.complete(work)
         else:
+            work.clock.enter(Stage.SCORING, anyio.current_time())
             self._texts.checkpoint_soon(work)
--- a/src/worksramp/rollout/item_lister.py
+++ b/src/worksramp/rollout/item_lister.py
@@ -1,5 +1,6 @@
 """Lists items: each open item of an owner's batches gets one position, completed or given up."""
 
+import anyio
 import structlog
 
 from worksramp.rollout.batches import BatchResult
@@ -57,10 +58,18 @@
 
     def _list(self, work: ItemWork, result: BatchResult) -> None:
         batch_id = work.key[0]
+        age_s = self._context.time_of_day() - work.submitted_at
+        logger.info(
+            "item_listed",
+            is_completed=result.is_completed,
+            group=self._items.group(work),
+            batch_age_s=round(age_s, 3),
+            **work.log_fields(anyio.current_time()),
+        )
         work.is_done = True
         self._items.works.pop(work.key, None)
         position = self._next_positions[batch_id]
         self._next_positions[batch_id] = position + 1
         self._results.put(batch_id, position, result)
         self._texts.forget(work.item.item_id)
-        self._context.on_listed(self._context.time_of_day() - work.submitted_at)
+        self._context.on_listed(age_s)
--- a/src/worksramp/rollout/item_runner.py
+++ b/src/worksramp/rollout/item_runner.py
@@ -29,6 +29,7 @@
 from worksramp.rollout.open_items import OpenItems
 from worksramp.rollout.owner_context import OwnerContext
 from worksramp.rollout.pace import PaceTracker
+from worksramp.rollout.stage_clock import Stage
 from worksramp.routing.failure_tracker import FailureTracker
 
 FAILURE_PAUSE_SECONDS = 0.1
@@ -77,6 +78,8 @@
         work = self._items.works[assignment.key]
         run = Run(assignment.worker_id, anyio.CancelScope(), now, now)
         work.run = run
+        work.num_runs += 1
+        work.clock.enter(Stage.RUNNING, now)
         group.start_soon(self._run, work, run)
 
     async def _run(self, work: ItemWork, run: Run) -> None:
@@ -97,6 +100,7 @@
             if run.scope.cancelled_caught:
                 outcome = RunBroken("moved" if run.is_moving else "closed")
         work.run = None
+        work.clock.enter(Stage.WAITING, anyio.current_time())
         self._context.on_run_ended(type(outcome).__name__)
         if not work.is_done:
             self._take_outcome(work, run, outcome, len(work.text.pieces) - num_before)
--- a/src/worksramp/rollout/item_work.py
+++ b/src/worksramp/rollout/item_work.py
@@ -6,6 +6,7 @@
 
 from worksramp.rollout.batch_run import TextBuilder
 from worksramp.rollout.batches import Batch, BatchItem, GeneratedText
+from worksramp.rollout.stage_clock import Stage, StageClock
 from worksramp.routing.table import Route
 
 ItemKey = tuple[str, int]
@@ -100,6 +101,8 @@
         avoided: workers it must not go to, each until a time.
         num_checkpointed: pieces of the text that are in the log.
         failed_at: workers that ended a run with an error of their own.
+        num_runs: runs begun.
+        clock: times in its stages.
     """
 
     key: ItemKey
@@ -116,6 +119,8 @@
     num_checkpointed: int = 0
     is_done: bool = False
     scoring: Scoring = field(default_factory=Scoring)
+    num_runs: int = 0
+    clock: StageClock = field(default_factory=lambda: StageClock(Stage.WAITING, anyio.current_time()))
 
     @property
     def needs_run(self) -> bool:
@@ -140,6 +145,17 @@
             len(self.scoring.failed_at) >= max_attempts or num_failures >= 2 * max_attempts
         )
 
+    def log_fields(self, now: float) -> dict[str, str | int | float]:
+        """Return what a log line tells of the item's way so far."""
+        return {
+            "item_id": self.item.item_id,
+            "batch_id": self.key[0],
+            "num_events": len(self.text.pieces),
+            "num_runs": self.num_runs,
+            "num_calls": self.scoring.num_calls,
+            **self.clock.as_log_fields(now),
+        }
+
     def stop(self) -> None:
         """Close the run and all scoring calls."""
         if self.run is not None:
--- a/src/worksramp_emulator/simulation/scoring_mutations.py
+++ b/src/worksramp_emulator/simulation/scoring_mutations.py
@@ -91,5 +91,5 @@
 
 @mistake("calls go on after the end of the batch")
 def _call_after_end() -> Iterator[None]:
-    with mock.patch.object(BatchOwner, "_drop_batch", lambda owner, batch_id: None):
+    with mock.patch.object(BatchOwner, "_drop_batch", lambda owner, batch_id, batch: None):
         yield
