--- a/src/worksramp/edge/serve.py
+++ b/src/worksramp/edge/serve.py
@@ -12,6 +12,7 @@
 from worksramp.edge.asgi import Receive, Scope, Send
 from worksramp.edge.node import EdgeNode
 from worksramp.edge.settings import EdgeSettings
+from worksramp.mechanisms import MECHANISMS, UnknownMechanismError
 from worksramp.settings_error import SettingsError
 
 Application = Callable[[Scope, Receive, Send], Awaitable[None]]
@@ -26,6 +27,18 @@
 logger = structlog.get_logger()
 
 
+def apply_switches(file: str, settings: EdgeSettings) -> None:
+    """Switch the mechanisms off that the settings name, and all others on.
+
+    Raises:
+        SettingsError: one of them does not exist.
+    """
+    try:
+        MECHANISMS.switch_off(settings.switched_off)
+    except UnknownMechanismError as exc:
+        raise SettingsError(file, "switched_off", str(exc)) from exc
+
+
 async def serve_node(
     node: EdgeNode, application: Application, read_settings: Callable[[], EdgeSettings]
 ) -> None:
--- a/src/worksramp/edge/settings.py
+++ b/src/worksramp/edge/settings.py
@@ -72,6 +72,7 @@
         listen: ``ip:port`` for callers.
         ready_listen: ``ip:port`` where readiness is asked; empty for that of callers.
         metrics_listen: ``ip:port`` for figures; empty for none.
+        switched_off: mechanisms that decisions are made without, to see what they are worth.
         max_loading: workers that take new weights at the same time, None for a share of the fleet.
     """
 
@@ -83,6 +84,7 @@
     metrics_listen: str = ""
     max_loading: int | None = None
     log_level: str = "info"
+    switched_off: tuple[str, ...] = ()
     machine: MachineSettings = msgspec.field(default_factory=MachineSettings)
     bounds: EdgeBounds = EdgeBounds()
 
--- a/src/worksramp/rollout/batch_schedule.py
+++ b/src/worksramp/rollout/batch_schedule.py
@@ -3,6 +3,8 @@
 import math
 from dataclasses import dataclass
 
+from worksramp.mechanisms import mechanism
+
 #: Workers whose paces differ by less than this ratio count as equally fast.
 PACE_TIER_RATIO = 1.15
 #: A batch that has waited this long goes before longer items of younger ones.
@@ -106,7 +108,25 @@
 
 
 def _rank(item: WaitingItem) -> tuple[bool, int, tuple[str, int]]:
-    return (item.batch_age_seconds < OLD_BATCH_SECONDS, -item.num_expected_tokens, item.key)
+    return (_is_young(item), _length_rank(item), item.key)
+
+
+@mechanism("old_batches_first", without=lambda item: False)
+def _is_young(item: WaitingItem) -> bool:
+    """Put items of old batches before all others."""
+    return item.batch_age_seconds < OLD_BATCH_SECONDS
+
+
+@mechanism("longest_first", without=lambda item: 0)
+def _length_rank(item: WaitingItem) -> int:
+    """Put items with much text still to be made before others."""
+    return -item.num_expected_tokens
+
+
+@mechanism("failing_workers_last", without=lambda place: False)
+def _is_suspect(place: Place) -> bool:
+    """Use workers that fail part of what they are given after all others."""
+    return place.is_suspect
 
 
 def _choose_room(item: WaitingItem, rooms: list[_Room], fastest: float | None) -> _Room | None:
@@ -118,7 +138,7 @@
     return min(
         candidates,
         key=lambda room: (
-            room.place.is_suspect,
+            _is_suspect(room.place),
             room.place.is_slow,
             pace_tier(room.place.seconds_per_event, fastest),
             room.num_running / room.place.num_slots,
@@ -128,6 +148,7 @@
     )
 
 
+@mechanism("fast_workers_first", without=lambda seconds_per_event, fastest: 0)
 def pace_tier(seconds_per_event: float | None, fastest: float | None) -> int:
     """Return 0 for a worker about as fast as the fastest, and more the slower it is.
 
--- a/src/worksramp/rollout/item_scorer.py
+++ b/src/worksramp/rollout/item_scorer.py
@@ -7,6 +7,7 @@
 import anyio.abc
 import structlog
 
+from worksramp.mechanisms import mechanism
 from worksramp.outcome_handlers import OutcomeHandlers
 from worksramp.rollout.batches import ScoringCall
 from worksramp.rollout.item_lister import ItemLister
@@ -44,6 +45,12 @@
 _take = OutcomeHandlers["ItemScorer", ScoringOutcome]()
 
 
+@mechanism("second_scoring_calls", without=lambda calls: not calls)
+def _may_call_beside(calls: list[ScorerCall]) -> bool:
+    """Ask a second scorer while the first is late."""
+    return len(calls) < MAX_CALLS_AT_ONCE and all(call.is_late for call in calls)
+
+
 class ItemScorer:
     """Sends scoring calls for an owner.
 
@@ -100,12 +107,7 @@
         return None if route is None or route.kind is RouteKind.BATCH else route
 
     def _may_call(self, work: ItemWork, now: float) -> bool:
-        calls = work.scoring.calls
-        return (
-            work.scoring.wait_until <= now
-            and len(calls) < MAX_CALLS_AT_ONCE
-            and all(call.is_late for call in calls)
-        )
+        return work.scoring.wait_until <= now and _may_call_beside(work.scoring.calls)
 
     def _note_late_calls(self, work: ItemWork, route: Route, now: float) -> None:
         for call in work.scoring.calls:
--- a/src/worksramp/rollout/run_watch.py
+++ b/src/worksramp/rollout/run_watch.py
@@ -3,6 +3,7 @@
 import anyio
 import structlog
 
+from worksramp.mechanisms import mechanism
 from worksramp.rollout.batch_schedule import Place, assign
 from worksramp.rollout.item_work import ItemWork, Run
 from worksramp.rollout.open_items import OpenItems
@@ -54,12 +55,15 @@
                 num_moves += 1
                 self._move(work, run, "faster_elsewhere", now)
 
+    @mechanism("stuck_runs", without=lambda watch, run, typical, now: False)
     def _is_stuck(self, run: Run, typical: float | None, now: float) -> bool:
+        """Take a run that has been silent for long for stuck, and go on with its item elsewhere."""
         silent = now - run.last_event_at
         if run.num_events == 0:
             return silent > FIRST_EVENT_SECONDS
         return silent > max(MIN_STUCK_SECONDS, STUCK_FACTOR * (typical or 0.0))
 
+    @mechanism("moves_to_faster", without=lambda watch, work, run, places, now: 0.0)
     def _gain_of_move(self, work: ItemWork, run: Run, places: list[Place], now: float) -> float:
         """Return the seconds by which an item is expected to end sooner at the best other worker."""
         pace = self._pace.seconds_per_event(run.worker_id, now)
--- a/src/worksramp/rollout/scoring_schedule.py
+++ b/src/worksramp/rollout/scoring_schedule.py
@@ -7,6 +7,8 @@
 
 from dataclasses import dataclass, replace
 
+from worksramp.mechanisms import mechanism
+
 #: Share of a worker's slots that scoring calls may take.
 SCORING_SHARE = 0.5
 
@@ -82,7 +84,13 @@
 
 
 def _rank(item: UnscoredItem) -> tuple[float, int, float, tuple[str, int]]:
-    return (-item.batch_age_s, item.num_group_left, -item.waiting_s, item.key)
+    return (-item.batch_age_s, _group_rank(item), -item.waiting_s, item.key)
+
+
+@mechanism("scoring_by_group", without=lambda item: 0)
+def _group_rank(item: UnscoredItem) -> int:
+    """Score items of nearly whole groups first."""
+    return item.num_group_left
 
 
 def _choose_place(item: UnscoredItem, places: dict[str, ScorerPlace]) -> ScorerPlace | None:
--- a/src/worksramp/rollout/text_keeper.py
+++ b/src/worksramp/rollout/text_keeper.py
@@ -7,6 +7,7 @@
 
 from worksramp.coordination.shared_log import KeyedRecord
 from worksramp.coordination.value_store import NotStored, ValuesUnavailableError
+from worksramp.mechanisms import mechanism
 from worksramp.rollout.batch_values import records_forgetting_values
 from worksramp.rollout.batches import Batch, GeneratedText, records_forgetting_batch
 from worksramp.rollout.item_work import ItemWork
@@ -56,6 +57,7 @@
         self._loaded = {key.removeprefix(PREFIX): value for key, value in values.items()}
         self._stored = set(self._loaded)
 
+    @mechanism("kept_texts", without=lambda keeper, item_id: None)
     def kept(self, item_id: str) -> GeneratedText | None:
         """Return the text so far of an item, from an earlier run, owner or batch."""
         left = self._left.get(item_id)
--- a/src/worksramp/routing/attempts.py
+++ b/src/worksramp/routing/attempts.py
@@ -7,6 +7,7 @@
 import anyio
 import structlog
 
+from worksramp.mechanisms import mechanism
 from worksramp.routing.table import Route
 from worksramp.routing.worker_port import HeaderList, WorkerAnswer, WorkerRequest
 from worksramp.routing.workers import WorkerDirectory, WorkerState
@@ -84,19 +85,27 @@
         self._node = node
 
     def choose(self, service: str, course: Course) -> WorkerState | None:
-        """Return this node's usual worker, or a better one; None when none is left.
-
-        Each node has workers in an order of its own, since connections are kept by pairs of node and worker
-        and new ones are dear. The next one is taken while the usual one is far slower, any one while the
-        usual one is loaded.
-        """
+        """Return a worker for an attempt, None when none is left."""
         now = anyio.current_time()
         fresh = [
             worker for worker in self._directory.usable(service) if worker.entry.worker_id not in course.tried
         ]
         sound = [worker for worker in fresh if worker.avoid_until <= now] or fresh
-        if not sound:
-            return None
+        return self._choose_among(sound, now) if sound else None
+
+    def _lesser_of_two(self, sound: list[WorkerState], now: float) -> WorkerState:
+        """Return the cheaper of two workers drawn at random."""
+        drawn = self._source.sample(sound, min(2, len(sound)))
+        return min(drawn, key=lambda worker: self._cost(worker, now))
+
+    @mechanism("usual_worker", without=_lesser_of_two)
+    def _choose_among(self, sound: list[WorkerState], now: float) -> WorkerState:
+        """Return this node's usual worker, or a better one.
+
+        Each node has workers in an order of its own, since connections are kept by pairs of node and worker
+        and new ones are dear. The next one is taken while the usual one is far slower, any one while the
+        usual one is loaded.
+        """
         usual, *others = sorted(sound, key=self._affinity, reverse=True)
         if not others:
             return usual
--- a/src/worksramp/routing/forward.py
+++ b/src/worksramp/routing/forward.py
@@ -11,6 +11,7 @@
 import anyio
 import structlog
 
+from worksramp.mechanisms import mechanism
 from worksramp.routing.attempts import Course, LiveRequest, WholeAnswer, WorkerChoice, to_worker
 from worksramp.routing.hedge import first_result
 from worksramp.routing.live_stream import LiveStream, StreamAnswer
@@ -54,6 +55,12 @@
 OutcomeObserver = Callable[[Route, ForwardOutcome, float], None]
 
 
+@mechanism("backup_attempts", without=lambda route: False)
+def _may_back_up(route: Route) -> bool:
+    """Ask a second worker while the first is late, where a request may be repeated."""
+    return route.may_repeat
+
+
 class Forwarder:
     """Forwards live requests of one node."""
 
@@ -125,7 +132,7 @@
     ) -> WholeAnswer | None:
         """Send to a worker, and to a second one when the first is late and the request may be repeated."""
         ends_at = request.ends_at(route)
-        if not route.may_repeat or len(course.tried) >= route.max_attempts:
+        if not _may_back_up(route) or len(course.tried) >= route.max_attempts:
             return await self._attempt(request, worker, ends_at, course)
 
         async def attempt() -> WholeAnswer | None:
--- a/src/worksramp/weights/model_homes.py
+++ b/src/worksramp/weights/model_homes.py
@@ -9,6 +9,8 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
+from worksramp.mechanisms import mechanism
+
 #: Slots beyond what a step needs at once: a run that moves must find a place.
 SLOT_HEADROOM = 1.15
 #: Paces differ between workers, and the longest items need the fast ones: with three homes of five workers a
@@ -41,6 +43,15 @@
     is_slow: bool = False
 
 
+def _everywhere(
+    demands: Sequence[ModelDemand], candidates: Sequence[HomeCandidate]
+) -> dict[str, frozenset[str]]:
+    """Make every worker a home of every model."""
+    workers = frozenset(worker.worker_id for worker in candidates)
+    return {demand.model: workers for demand in demands}
+
+
+@mechanism("model_homes", without=_everywhere)
 def place_models(
     demands: Sequence[ModelDemand], candidates: Sequence[HomeCandidate]
 ) -> dict[str, frozenset[str]]:
--- a/tests/unit/test_edge_settings.py
+++ b/tests/unit/test_edge_settings.py
@@ -5,8 +5,9 @@
 
 import pytest
 
-from worksramp.edge.serve import reload_settings
+from worksramp.edge.serve import apply_switches, reload_settings
 from worksramp.edge.settings import check_listen, load_edge_settings
+from worksramp.mechanisms import MECHANISMS
 from worksramp.settings_error import SettingsError
 
 GOOD = """
@@ -103,3 +104,17 @@
     write(tmp_path, GOOD.replace("grace = 8", "grace = -1"))
     reload_settings(node, lambda: load_edge_settings(file))  # type: ignore[arg-type]
     assert node.settings.bounds.grace == 8
+
+
+def test_mechanisms_are_switched_off_by_name_and_an_unknown_one_is_refused(tmp_path: Path) -> None:
+    named = write(tmp_path, GOOD.replace("[store]", 'switched_off = ["early_loads"]\n[store]'))
+    try:
+        apply_switches(named, load_edge_settings(named))
+        assert not MECHANISMS.is_on("early_loads")
+        unknown = write(tmp_path, GOOD.replace("[store]", 'switched_off = ["none"]\n[store]'))
+        with pytest.raises(SettingsError) as caught:
+            apply_switches(unknown, load_edge_settings(unknown))
+        assert caught.value.path == "switched_off"
+        assert "early_loads" in caught.value.reason
+    finally:
+        MECHANISMS.switch_off(())
