--- a/src/worksramp/mechanisms.py
+++ b/src/worksramp/mechanisms.py
@@ -1,13 +1,13 @@
 """Registry of the mechanisms that decisions are made with; each can be switched off to see what it is worth.
 
-A mechanism is a decorated function together with what stands in its place when it is off. The switches are set
-once, from the settings, before a node starts; all are on by default.
+A mechanism is a decorated function together with what stands in its place when it is off. The switches are
+set once, from the settings, before a node starts; all are on by default.
 """
 
 import functools
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
-from typing import ParamSpec, TypeVar
+from typing import Any, ParamSpec, TypeVar, cast
 
 ParamsT = ParamSpec("ParamsT")
 ResultT = TypeVar("ResultT")
@@ -54,7 +54,7 @@
         return name not in self._off
 
     def register(
-        self, name: str, without: Callable[ParamsT, ResultT]
+        self, name: str, without: Callable[..., Any]
     ) -> Callable[[Callable[ParamsT, ResultT]], Callable[ParamsT, ResultT]]:
         """Register the decorated function as a mechanism.
 
@@ -68,8 +68,9 @@
 
             @functools.wraps(function)
             def call(*args: ParamsT.args, **kwargs: ParamsT.kwargs) -> ResultT:
-                chosen = function if self.is_on(name) else without
-                return chosen(*args, **kwargs)
+                if self.is_on(name):
+                    return function(*args, **kwargs)
+                return cast(ResultT, without(*args, **kwargs))
 
             return call
 
@@ -80,7 +81,7 @@
 
 
 def mechanism(
-    name: str, without: Callable[ParamsT, ResultT]
+    name: str, without: Callable[..., Any]
 ) -> Callable[[Callable[ParamsT, ResultT]], Callable[ParamsT, ResultT]]:
     """Register the decorated function among the product's mechanisms; see `Mechanisms.register`."""
     return MECHANISMS.register(name, without)
--- a/src/worksramp/rollout/batch_owner.py
+++ b/src/worksramp/rollout/batch_owner.py
@@ -19,7 +19,7 @@
 from worksramp.rollout.pace import PaceTracker
 from worksramp.rollout.result_writer import ResultWriter
 from worksramp.rollout.run_watch import RunWatch
-from worksramp.rollout.stage_clock import Stage
+from worksramp.rollout.stage_clock import Stage, StageClock
 from worksramp.rollout.text_keeper import TextKeeper
 from worksramp.routing.failure_tracker import FailureTracker
 from worksramp.routing.table import Route
@@ -132,6 +132,7 @@
                 submitted_at=batch.header.submitted_at,
                 min_version=batch.header.min_version,
                 text=text_to_start_from(kept, batch, route),
+                clock=StageClock(since=anyio.current_time()),
             )
             self.items.works[work.key] = work
             if work.text.is_whole:
--- a/src/worksramp/rollout/item_work.py
+++ b/src/worksramp/rollout/item_work.py
@@ -6,7 +6,7 @@
 
 from worksramp.rollout.batch_run import TextBuilder
 from worksramp.rollout.batches import Batch, BatchItem, GeneratedText
-from worksramp.rollout.stage_clock import Stage, StageClock
+from worksramp.rollout.stage_clock import StageClock
 from worksramp.routing.table import Route
 
 ItemKey = tuple[str, int]
@@ -120,7 +120,7 @@
     is_done: bool = False
     scoring: Scoring = field(default_factory=Scoring)
     num_runs: int = 0
-    clock: StageClock = field(default_factory=lambda: StageClock(Stage.WAITING, anyio.current_time()))
+    clock: StageClock = field(default_factory=StageClock)
 
     @property
     def needs_run(self) -> bool:
--- a/src/worksramp/rollout/stage_clock.py
+++ b/src/worksramp/rollout/stage_clock.py
@@ -24,8 +24,8 @@
         spent_s: seconds in stages that were left, by stage.
     """
 
-    stage: Stage
-    since: float
+    stage: Stage = Stage.WAITING
+    since: float = 0.0
     spent_s: dict[Stage, float] = field(default_factory=dict)
 
     def enter(self, stage: Stage, now: float) -> None:
--- a/src/worksramp/weights/version_moves.py
+++ b/src/worksramp/weights/version_moves.py
@@ -1,7 +1,8 @@
 """Which workers take the next version of a model now: a pure decision from one view.
 
 A home of a model (`worksramp.weights.model_homes`) that may no longer run what waits loads at once; one that
-still may loads while nothing waits, so that a new version costs no work its place. Other workers are brought in only where the homes have too few free slots for what waits.
+still may loads while nothing waits, so that a new version costs no work its place. Other workers are brought in
+only where the homes have too few free slots for what waits.
 """
 
 import itertools
