An owner hands on how old the last order to a worker is; loads beside runs reverted; lapsed entries by the users' two seconds

Change: an owner's record tells the machine of the last order and its least age, so that no clocks are compared; an order that was announced and not heard of again counts as given at the claim.

--- a/src/worksramp/coordination/fenced_writer.py
+++ b/src/worksramp/coordination/fenced_writer.py
@@ -55,6 +55,8 @@
         self._is_release_wanted = False
         self._ended = anyio.Event()
         self._num_orders = claimed.num_orders
+        self._last_order_node = claimed.last_order_node
+        self._last_order_at = anyio.current_time() - claimed.last_order_age_s
         self._announced_orders = claimed.num_orders
         self._appended = anyio.Event()
         self._renewal_written_at = float("-inf")
@@ -126,6 +128,8 @@
         is_due = now - self._renewal_written_at >= RENEWAL_SHARE * self._renewal_seconds
         if is_release or is_due or not batch or self._num_orders > self._owner.num_orders:
             self._renewal_written_at = now
+            if self._num_orders > self._owner.num_orders:
+                self._last_order_node, self._last_order_at = self._owner.node, now
             self._owner = OwnerRecord(
                 self._owner.node,
                 self._owner.boot,
@@ -133,10 +137,15 @@
                 self._owner.renewal + 1,
                 is_release,
                 self._num_orders,
+                self._last_order_node,
+                max(0.0, now - self._last_order_at),
             )
             batch.append(KeyedRecord(OWNER_KEY, encode(self._owner)))
         self._sequence += 1
         await self._append_until_known(tuple(batch))
+        if self._owner.num_orders > self._announced_orders:
+            # An order follows the moment at which its announcement is known, not that of its writing.
+            self._last_order_at = anyio.current_time()
         self._announced_orders = self._owner.num_orders
         self._appended.set()
         self._appended = anyio.Event()
--- a/src/worksramp/coordination/log_lease.py
+++ b/src/worksramp/coordination/log_lease.py
@@ -5,6 +5,7 @@
 appends. Time decides only when somebody claims, never who may write.
 """
 
+import math
 from dataclasses import dataclass
 
 import msgspec
@@ -27,6 +28,8 @@
         renewal: counts the renewals within the epoch.
         is_released: the owner has stopped; the next claim need not wait.
         num_orders: orders to workers announced so far, by all owners; each is announced before it is given.
+        last_order_node: machine that announced the last of them, empty text when it is not known.
+        last_order_age_s: how long before this record that was, at least.
     """
 
     node: str
@@ -35,6 +38,13 @@
     renewal: int = 0
     is_released: bool = False
     num_orders: int = 0
+    last_order_node: str = ""
+    last_order_age_s: float = 0.0
+
+    @property
+    def is_order_open(self) -> bool:
+        """Whether the last order was announced by this record, so that it was given later than that."""
+        return self.num_orders > 0 and self.last_order_age_s == 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -133,6 +143,24 @@
     return ClaimLease(view.owner.epoch + 1)
 
 
+def latest_order_at(record: OwnerRecord, node: str, now: float) -> float:
+    """Return the latest time at which a machine other than this one can have given the last order.
+
+    A record was written before it is read, so that the age it tells is the least: no clocks are compared. A
+    holder is a machine: what an earlier process of this one ordered keeps it from nothing.
+
+    Args:
+        node: name of this machine.
+        now: time on this machine's clock, at which the record is known.
+
+    Returns:
+        A time on this machine's clock, minus infinity for no order of another machine.
+    """
+    if record.num_orders == 0 or record.last_order_node == node:
+        return -math.inf
+    return now - record.last_order_age_s
+
+
 def may_order(now: float, former_order_at: float, renewed_at: float, times: LeaseTimes) -> bool:
     """Return whether an owner may order workers now.
 
@@ -140,6 +168,6 @@
     renewal keeps one that woke from a pause silent until it has heard from the store again.
 
     Args:
-        former_order_at: when this node saw the last order of another owner announced.
+        former_order_at: latest time at which another machine can have given an order.
     """
     return now - former_order_at >= times.order_guard and now - renewed_at <= times.order_validity
--- a/src/worksramp/edge/node.py
+++ b/src/worksramp/edge/node.py
@@ -36,11 +36,11 @@
 
 BOOT_CHARACTERS = 8
 STOP_TICK_SECONDS = 0.05
-DROP_TICK_SECONDS = 0.2
+DROP_TICK_SECONDS = 0.1
 #: Entries that go this soon after an outage of the store went because of it.
 AFTER_OUTAGE_SECONDS = 1.0
-#: A worker without an entry is kept for this share of the time in which a leaving one must get no more work.
-MISSING_SHARE = 0.8
+#: Entries that lapsed with the store are back this soon after its return; others are gone. Source: the users.
+LAPSED_ENTRY_S = 2.0
 USABLE = "usable"
 WORKER_STATES = (USABLE, "leaving")
 
@@ -252,7 +252,7 @@
         """Drop a worker, or keep it for a while when its entry went with the store.
 
         Entries run out while the store is away, since nobody can write them; sound workers write them again
-        at once. None is kept as long as a worker that leaves may be given work.
+        within about two seconds, and those of others are gone for good.
         """
         was_outage = self._workers.regained_age() < AFTER_OUTAGE_SECONDS
         logger.info("worker_gone", worker=worker_id, is_kept=was_outage)
@@ -264,9 +264,9 @@
     async def _drop_missing_workers(self) -> None:
         while True:
             await anyio.sleep(DROP_TICK_SECONDS)
-            for worker_id in self.directory.missing_since(
-                anyio.current_time() - MISSING_SHARE * self.settings.bounds.drain
-            ):
+            if self._workers.regained_age() < LAPSED_ENTRY_S:
+                continue
+            for worker_id in self.directory.missing_since(anyio.current_time()):
                 logger.info("worker_dropped", worker=worker_id)
                 self.directory.remove(worker_id)
                 self.shard.wake()
--- a/src/worksramp/edge/shard.py
+++ b/src/worksramp/edge/shard.py
@@ -1,11 +1,13 @@
 """A node's part in one shard of batches: replica, lease, and the owner's work while the lease is held."""
 
+import math
 import random
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import anyio
+import msgspec
 import structlog
 
 from worksramp.coordination.fenced_writer import FencedWriter, OwnershipLostError
@@ -18,6 +20,7 @@
     OwnerRecord,
     claim_delay_range,
     decide_claim,
+    latest_order_at,
     may_order,
 )
 from worksramp.coordination.shared_log import (
@@ -172,9 +175,8 @@
 
     def _take_owner_record(self, record: OwnerRecord) -> None:
         now = anyio.current_time()
-        num_orders_before = self.owner_record.num_orders if self.owner_record else 0
-        if record.num_orders > num_orders_before and record.boot != self.context.boot:
-            self.former_order_at = now
+        if record.boot != self.context.boot:
+            self.former_order_at = latest_order_at(record, self.context.node, now)
         self.owner_record = record
         self.owner_changed_at = now
 
@@ -194,8 +196,10 @@
 
     async def _claim_and_own(self, epoch: int) -> None:
         claimed_at = anyio.current_time()
-        num_orders = self.owner_record.num_orders if self.owner_record else 0
-        record = OwnerRecord(self.context.node, self.context.boot, epoch, num_orders=num_orders)
+        if self.owner_record is not None and self.owner_record.is_order_open:
+            # Announced, and nothing was heard since: it may be given as late as now.
+            self.former_order_at = latest_order_at(self.owner_record, self.context.node, claimed_at)
+        record = self._claim_record(epoch, claimed_at)
         silence = claimed_at - self.owner_changed_at
         former = self.owner_record.node if self.owner_record else ""
         is_won = await self._claim(record)
@@ -205,6 +209,21 @@
         if is_won:
             await self._own(record)
 
+    def _claim_record(self, epoch: int, now: float) -> OwnerRecord:
+        """Return the record of a claim, which hands on what is known of the last order."""
+        before = self.owner_record
+        record = OwnerRecord(self.context.node, self.context.boot, epoch)
+        if before is None:
+            return record
+        # What this machine ordered itself may have been a moment ago, as far as others are told.
+        age_s = now - self.former_order_at if math.isfinite(self.former_order_at) else 0.0
+        return msgspec.structs.replace(
+            record,
+            num_orders=before.num_orders,
+            last_order_node=before.last_order_node,
+            last_order_age_s=age_s,
+        )
+
     async def _claim(self, record: OwnerRecord) -> bool:
         """Append the owner's record at the end that this node's copy has reached.
 
--- a/src/worksramp/weights/version_moves.py
+++ b/src/worksramp/weights/version_moves.py
@@ -1,8 +1,8 @@
 """Which workers take the next version of a model now: a pure decision from one view.
 
 A home of a model (`worksramp.weights.model_homes`) that may no longer run what waits loads at once; one that
-still may loads while nothing waits, so that a new version costs no work its place. Other workers are brought in
-only where the homes have too few free slots for what waits.
+still may loads while it has none of that model's runs and none wait, so that a new version costs no work its
+place. Other workers are brought in only where the homes have too few free slots for what waits.
 """
 
 import itertools
@@ -114,22 +114,16 @@
 
 @mechanism("early_loads", without=lambda need: [])
 def _early_moves(need: ModelNeed) -> list[Move]:
-    """Have homes load before they must, while nothing waits for a place."""
+    """Have idle homes load before they must, while nothing waits for a place."""
     if need.num_waiting > 0:
         return []
     return [
         _move(need, worker)
         for worker in _movable(need)
-        if need.is_home(worker) and worker.version >= need.min_version and _may_load(need, worker)
+        if need.is_home(worker) and worker.version >= need.min_version and worker.num_running == 0
     ]
 
 
-@mechanism("loads_beside_runs", without=lambda need, worker: worker.num_running == 0)
-def _may_load(need: ModelNeed, worker: WorkerVersion) -> bool:
-    """Have workers load while they run: runs go on meanwhile, unless their text must be of one version."""
-    return worker.num_running == 0 or not need.has_one_version_runs
-
-
 def _num_slots_in_sight(need: ModelNeed) -> int:
     """Free slots of workers that may run what waits, or soon may."""
     return sum(
--- a/tests/features/batches.feature
+++ b/tests/features/batches.feature
@@ -34,6 +34,28 @@
       | workers break off their answers for 5 s   | 9     |
       | orders are late for 6 s                   | 14    |
 
+  Scenario: a machine that is killed between orders does not wait for itself
+    Given a deployment
+    And all nodes are killed at 9 seconds
+    When a trainer asks for 6 steps
+    Then every step has its groups within 6 seconds
+    And nothing is violated
+
+  Scenario Outline: <second> after an owner that took over and gave no order
+    Given a deployment
+    And the owner is killed at <at> seconds
+    And the owner is killed at <then> seconds
+    And the owner is killed at <last> seconds
+    When a trainer asks for 6 steps
+    Then every step has its groups within 14 seconds
+    And nothing is violated
+
+    Examples:
+      | second           | at | then | last |
+      | soon             | 2  | 4    | 6    |
+      | within the lease | 3  | 5    | 8    |
+      | while loads run  | 4  | 6    | 7    |
+
   Scenario Outline: drawn troubles, seed <seed>
     Given a deployment with seed <seed>
     And drawn troubles for 30 seconds
--- a/tests/unit/test_batch_decisions.py
+++ b/tests/unit/test_batch_decisions.py
@@ -1,5 +1,7 @@
 """Decisions about batches from one view: who runs what, who loads, who claims, who orders."""
 
+import math
+
 from worksramp.coordination.log_lease import (
     ClaimLease,
     LeaseTimes,
@@ -8,6 +10,7 @@
     OwnerRecord,
     claim_delay_range,
     decide_claim,
+    latest_order_at,
     may_order,
 )
 from worksramp.rollout.batch_run import TextBuilder
@@ -239,3 +242,22 @@
     assert may_order(now=10.3, former_order_at=6.0, renewed_at=10.0, times=TIMES)
     # As after a pause that the owner did not notice.
     assert not may_order(now=13.0, former_order_at=6.0, renewed_at=10.0, times=TIMES)
+
+
+def test_the_last_order_of_another_machine_is_as_old_as_its_owner_says_at_least() -> None:
+    record = OwnerRecord("a", "a1", 3, num_orders=4, last_order_node="a", last_order_age_s=5.0)
+    assert latest_order_at(record, "b", now=100.0) == 95.0
+    assert latest_order_at(record, "a", now=100.0) == -math.inf
+
+
+def test_an_order_handed_on_by_an_owner_that_gave_none_keeps_its_machine() -> None:
+    record = OwnerRecord("b", "b1", 4, num_orders=4, last_order_node="a", last_order_age_s=1.0)
+    assert latest_order_at(record, "c", now=100.0) == 99.0
+    assert latest_order_at(record, "b", now=100.0) == 99.0
+    assert latest_order_at(record, "a", now=100.0) == -math.inf
+
+
+def test_a_record_of_an_older_release_keeps_everybody_from_ordering() -> None:
+    record = OwnerRecord("a", "a1", 3, num_orders=4)
+    assert latest_order_at(record, "a", now=100.0) == 100.0
+    assert record.is_order_open
