Items that were not whole run on between two batches; reads of results catch up with the log first

And a read of results stood up to 0.2 s behind what was listed, half a second before the next read. Hypothesis: runs that go on under the newest version while the item is between two batches save 1 to 1.5 s of the longest items; reads that cut the copy's pause short save 0.1 s a step. KeyedReplica.catch_up, switch reads_catch_up.

--- a/src/worksramp/coordination/keyed_replica.py
+++ b/src/worksramp/coordination/keyed_replica.py
@@ -73,6 +73,7 @@
         self.confirmed_at = float("-inf")
         #: When the store last answered again after it had not.
         self.regained_at = float("-inf")
+        self._is_gathering = False
 
     @property
     def is_loaded(self) -> bool:
@@ -127,6 +128,14 @@
         except (TimeoutError, LogUnavailableError) as error:
             raise NotCurrentError(str(error) or "timed out") from error
 
+    async def catch_up(self, timeout_s: float) -> None:
+        """Cut a pause between two reads short, and wait a moment for what came in during it."""
+        if not self._is_gathering:
+            return
+        self._hurry.set()
+        with anyio.move_on_after(timeout_s):
+            await self._changed.wait()
+
     async def wait_changed(self) -> None:
         """Wait until the copy has taken in something more."""
         await self._changed.wait()
@@ -140,8 +149,10 @@
 
     async def _gather(self) -> None:
         """Let changes gather, unless somebody needs to know the end now."""
+        self._is_gathering = True
         with anyio.move_on_after(self.gather_seconds):
             await self._hurry.wait()
+        self._is_gathering = False
         self._hurry = anyio.Event()
 
     async def _step(self) -> bool:
--- a/src/worksramp/edge/node.py
+++ b/src/worksramp/edge/node.py
@@ -122,6 +122,7 @@
                 named_versions=self.named_versions,
                 max_loading=settings.max_loading,
                 status_seconds=bounds.status,
+                cancel_s=bounds.cancel,
                 metrics=self.metrics,
                 num_cores=settings.machine.num_cores,
                 may_own=lambda: self.is_ready,
--- a/src/worksramp/edge/settings.py
+++ b/src/worksramp/edge/settings.py
@@ -24,6 +24,7 @@
         status: results are kept for this long.
         acknowledge: a call of a batch is answered within this.
         drain: a worker that leaves gets no new work after this.
+        cancel: an item reaches no worker later than this after the end of its batch.
     """
 
     configuration_apply: float = 2.0
@@ -33,6 +34,7 @@
     status: float = 120.0
     acknowledge: float = 4.0
     drain: float = 2.0
+    cancel: float = 3.0
 
 
 class StoreSettings(msgspec.Struct, frozen=True):
--- a/src/worksramp/edge/shard.py
+++ b/src/worksramp/edge/shard.py
@@ -79,6 +79,7 @@
     named_versions: dict[str, int]
     max_loading: int | None
     status_seconds: float
+    cancel_s: float
     num_cores: float
     may_own: Callable[[], bool]
     metrics: NodeMetrics
@@ -264,6 +265,8 @@
                 context.table,
                 context.log.limits.max_record_bytes,
                 context.status_seconds,
+                context.named_versions,
+                context.cancel_s,
                 context.time_of_day,
                 lambda outcome: context.metrics.item_runs.labels(outcome).inc(),
                 lambda outcome: context.metrics.scoring_calls.labels(outcome).inc(),
--- a/src/worksramp/rollout/batch_owner.py
+++ b/src/worksramp/rollout/batch_owner.py
@@ -10,10 +10,11 @@
 
 from worksramp.rollout.batch_reader import BatchReader
 from worksramp.rollout.batches import Batch
+from worksramp.rollout.carried_items import CarriedItems
 from worksramp.rollout.item_lister import ItemLister
 from worksramp.rollout.item_runner import ItemRunner
 from worksramp.rollout.item_scorer import ItemScorer
-from worksramp.rollout.item_work import ItemWork, text_to_start_from
+from worksramp.rollout.item_work import ItemWork, longer_text, text_to_start_from
 from worksramp.rollout.open_items import OpenItems
 from worksramp.rollout.owner_context import OwnerContext
 from worksramp.rollout.pace import PaceTracker
@@ -46,6 +47,7 @@
             context, self.items, self._pace, self._failures, self._lister, self._take_whole, self.wake
         )
         self._scorer = ItemScorer(context, self.items, self._failures, self._lister, self.wake)
+        self._carried = CarriedItems(context, self.items)
         self._seen_batches: set[str] = set()
         self._wanted = anyio.Event()
         self._group: anyio.abc.TaskGroup | None = None
@@ -61,6 +63,7 @@
             group.start_soon(self._texts.forget_forever)
             while not self._is_stopping:
                 self._take_batches()
+                self._carried.drop_old()
                 self._watch.look()
                 self._runner.look(group)
                 self._scorer.look(group)
@@ -124,6 +127,10 @@
         num_reused = 0
         for index, item in items.items():
             kept = self._texts.kept(item.item_id) or earlier.get(item.item_id)
+            text = text_to_start_from(kept, batch, route)
+            carried = self._carried.take(item.item_id)
+            if carried is not None:
+                text = longer_text(text, text_to_start_from(carried.freeze(""), batch, route))
             work = ItemWork(
                 key=(batch_id, index),
                 item=item,
@@ -131,7 +138,7 @@
                 route=route,
                 submitted_at=batch.header.submitted_at,
                 min_version=batch.header.min_version,
-                text=text_to_start_from(kept, batch, route),
+                text=text,
                 clock=StageClock(since=anyio.current_time()),
             )
             self.items.works[work.key] = work
@@ -174,6 +181,7 @@
             )
             work.stop()
             self._texts.leave(work)
+            self._carried.carry(work)
         logger.info("batch_ended", batch_id=batch_id, num_cut=num_cut)
 
     def _give_up_old(self, batch: Batch, route: Route | None) -> None:
@@ -184,7 +192,9 @@
             self._lister.give_up(work, "too_old")
 
     def _take_whole(self, work: ItemWork) -> None:
-        """List an item whose text is whole, unless its score is still to come."""
+        """List an item whose text is whole, unless its batch has ended or its score is still to come."""
+        if work.is_carried:
+            return
         if work.is_scored:
             self._lister.complete(work)
         else:
--- a/src/worksramp/rollout/batch_run.py
+++ b/src/worksramp/rollout/batch_run.py
@@ -59,6 +59,10 @@
             self.num_scoring_failures,
         )
 
+    def copy(self) -> "TextBuilder":
+        """Return a builder of the same text that grows apart from this one."""
+        return TextBuilder.from_text(self.freeze(""))
+
     def clear(self) -> None:
         """Throw the text and its score away; failures stay counted."""
         self.pieces, self.last_event_id, self.versions, self.is_whole = [], None, [], False
--- a/src/worksramp/rollout/batch_service.py
+++ b/src/worksramp/rollout/batch_service.py
@@ -9,6 +9,7 @@
 from worksramp.coordination.keyed_replica import KeyedReplica, NotCurrentError
 from worksramp.coordination.shared_log import KeyedRecord, Partition
 from worksramp.coordination.value_store import NotStored, ValuesUnavailableError, append_until_known
+from worksramp.mechanisms import mechanism
 from worksramp.rollout.batch_values import BatchValues
 from worksramp.rollout.batches import (
     Batch,
@@ -21,6 +22,8 @@
 )
 
 MAX_PAGE_BYTES = 900_000
+#: One read of the store in calm, with room for a slow one.
+CATCH_UP_S = 0.05
 
 logger = structlog.get_logger()
 
@@ -83,6 +86,16 @@
     freshness: float
 
 
+async def _stay_behind(replica: KeyedReplica) -> None:
+    """Read from the copy as it is."""
+
+
+@mechanism("reads_catch_up", without=_stay_behind)
+async def _catch_up(replica: KeyedReplica) -> None:
+    """Have readers of results see what was listed during a pause of the copy."""
+    await replica.catch_up(CATCH_UP_S)
+
+
 class BatchService:
     """Calls about the batches of one shard, on any node."""
 
@@ -136,6 +149,7 @@
         if not isinstance(batch, Batch):
             return batch
         num_items = len(batch.header.item_ids)
+        await _catch_up(self._replica)
         if start not in batch.results and start < num_items:
             with anyio.move_on_after(wait_seconds):
                 while start not in batch.results:
--- a/src/worksramp/rollout/item_runner.py
+++ b/src/worksramp/rollout/item_runner.py
@@ -33,6 +33,8 @@
 from worksramp.routing.failure_tracker import FailureTracker
 
 FAILURE_PAUSE_SECONDS = 0.1
+#: Runs of open batches, which have the workers' default of 5, displace those of ended ones.
+CARRIED_URGENCY = 8
 
 logger = structlog.get_logger()
 
@@ -66,13 +68,13 @@
         self._wake = wake
 
     def look(self, group: anyio.abc.TaskGroup) -> None:
-        """Give waiting items to workers that have room."""
-        waiting = self._items.waiting()
-        if not waiting:
-            return
+        """Give waiting items to workers that have room, those of ended batches after all others."""
         now = anyio.current_time()
-        for assignment in assign(self._items.waiting_items(waiting, now), self._items.places(now)):
-            self._start(group, assignment, now)
+        for waiting in (self._items.waiting(), self._items.carried_waiting(now)):
+            if not waiting:
+                continue
+            for assignment in assign(self._items.waiting_items(waiting, now), self._items.places(now)):
+                self._start(group, assignment, now)
 
     def _start(self, group: anyio.abc.TaskGroup, assignment: Assignment, now: float) -> None:
         work = self._items.works[assignment.key]
@@ -85,7 +87,13 @@
     async def _run(self, work: ItemWork, run: Run) -> None:
         state = self._context.directory.get(run.worker_id)
         outcome: RunOutcome = RunNotBegun("no_entry")
-        spec = RunSpec(work.item, self._items.host(work), work.min_version, work.route.needs_one_version)
+        spec = RunSpec(
+            work.item,
+            self._items.host(work),
+            work.min_version,
+            work.route.needs_one_version,
+            CARRIED_URGENCY if work.is_carried else None,
+        )
 
         def note_event() -> None:
             now = anyio.current_time()
@@ -121,7 +129,7 @@
 
     @_take.handler(RunNeverPossible)
     def _take_never_possible(self, outcome: RunNeverPossible, work: ItemWork, run: Run, now: float) -> None:
-        self._lister.give_up(work, "never_possible")
+        self._give_up(work, "never_possible")
 
     @_take.handler(RunFailed)
     def _take_failed(self, outcome: RunFailed, work: ItemWork, run: Run, now: float) -> None:
@@ -131,7 +139,14 @@
         work.avoid(run.worker_id, now + AVOID_AFTER_BREAK_SECONDS)
         work.wait_until = now + FAILURE_PAUSE_SECONDS
         if work.has_failed_for_good():
-            self._lister.give_up(work, "failed")
+            self._give_up(work, "failed")
+
+    def _give_up(self, work: ItemWork, reason: str) -> None:
+        """List an item as given up; one of an ended batch is just not run again."""
+        if work.is_carried:
+            work.is_done = True
+        else:
+            self._lister.give_up(work, reason)
 
     @_take.handler(RunNotBegun)
     def _take_not_begun(self, outcome: RunNotBegun, work: ItemWork, run: Run, now: float) -> None:
--- a/src/worksramp/rollout/item_work.py
+++ b/src/worksramp/rollout/item_work.py
@@ -103,6 +103,7 @@
         failed_at: workers that ended a run with an error of their own.
         num_runs: runs begun.
         clock: times in its stages.
+        carried_until: its batch has ended and it runs on; no run begins after this. None in an open batch.
     """
 
     key: ItemKey
@@ -121,6 +122,12 @@
     scoring: Scoring = field(default_factory=Scoring)
     num_runs: int = 0
     clock: StageClock = field(default_factory=StageClock)
+    carried_until: float | None = None
+
+    @property
+    def is_carried(self) -> bool:
+        """Whether the item's batch has ended."""
+        return self.carried_until is not None
 
     @property
     def needs_run(self) -> bool:
@@ -130,7 +137,7 @@
     @property
     def needs_score(self) -> bool:
         """Whether the text is whole and the item waits for its score alone."""
-        return self.text.is_whole and not self.is_done and not self.is_scored
+        return self.text.is_whole and not self.is_done and not self.is_scored and not self.is_carried
 
     @property
     def is_scored(self) -> bool:
@@ -196,3 +203,11 @@
     if is_too_old or (route.needs_one_version and len(text.versions) > 1):
         text.clear()
     return text
+
+
+def longer_text(one: TextBuilder, other: TextBuilder) -> TextBuilder:
+    """Return the text that has more; failures counted in the first stay counted."""
+    if len(other.pieces) <= len(one.pieces):
+        return one
+    other.num_failures, other.num_scoring_failures = one.num_failures, one.num_scoring_failures
+    return other
--- a/src/worksramp/rollout/open_items.py
+++ b/src/worksramp/rollout/open_items.py
@@ -37,8 +37,16 @@
         return [work for key, work in self.works.items() if key[0] == batch_id]
 
     def waiting(self) -> list[ItemWork]:
-        """Return the items that no worker runs."""
-        return [work for work in self.works.values() if work.needs_run]
+        """Return the items of open batches that no worker runs."""
+        return [work for work in self.works.values() if work.needs_run and not work.is_carried]
+
+    def carried_waiting(self, now: float) -> list[ItemWork]:
+        """Return the items of ended batches that no worker runs and that may still begin."""
+        return [
+            work
+            for work in self.works.values()
+            if work.needs_run and work.carried_until is not None and now < work.carried_until
+        ]
 
     def unscored(self) -> list[ItemWork]:
         """Return the items whose texts are whole and wait for their scores."""
@@ -87,9 +95,10 @@
         )
 
     def _model_work(self, model: str, works: list[ItemWork]) -> ModelWork:
+        open_works = [work for work in works if not work.is_carried]
         return ModelWork(
-            num_waiting=sum(1 for work in works if work.needs_run),
-            min_version=max((work.min_version for work in works if not work.text.is_whole), default=0),
+            num_waiting=sum(1 for work in open_works if work.needs_run),
+            min_version=max((work.min_version for work in open_works if not work.text.is_whole), default=0),
             has_one_version_work=any(work.route.needs_one_version for work in works),
             num_step_items=max(len(works), *self._step_sizes.get(model, ()), 0),
         )
--- a/src/worksramp/rollout/owner_context.py
+++ b/src/worksramp/rollout/owner_context.py
@@ -32,6 +32,8 @@
         values: items and texts of batches.
         progress: texts so far of items, for the next owner.
         table: where the configuration in force is found.
+        named_versions: newest version of each model, kept up to date by the node.
+        cancel_s: an item must reach no worker later than this after the end of its batch.
         status_seconds: age until which the results of an ended batch are kept.
         time_of_day: seconds, as batches are stamped.
         on_run_ended: told the class of each run's outcome.
@@ -48,6 +50,8 @@
     table: TableSource
     max_record_bytes: int
     status_seconds: float
+    named_versions: dict[str, int]
+    cancel_s: float
     time_of_day: Callable[[], float] = time.time
     on_run_ended: Callable[[str], None] = _ignore
     on_scoring_ended: Callable[[str], None] = _ignore
--- a/src/worksramp/rollout/run_watch.py
+++ b/src/worksramp/rollout/run_watch.py
@@ -50,6 +50,7 @@
                 self._move(work, run, "stuck", now)
             elif (
                 num_moves < MAX_MOVES_A_TICK
+                and not work.is_carried
                 and self._gain_of_move(work, run, places, now) > MIN_MOVE_GAIN_SECONDS
             ):
                 num_moves += 1
--- a/src/worksramp_emulator/simulation/batch_checkers.py
+++ b/src/worksramp_emulator/simulation/batch_checkers.py
@@ -5,7 +5,7 @@
 from worksramp_emulator.batch_fleet import num_events_of, whole_text
 from worksramp_emulator.simulation.batch_world import BatchWorld, StepRecord, call_of
 
-#: Scoring calls may still reach a scorer this long after the end of their batch.
+#: Items and scoring calls may still reach a worker this long after the end of their batch.
 CANCEL_S = 3.0
 
 
@@ -14,6 +14,7 @@
     violations = check_positions(world)
     violations += check_orders(world, lease_seconds)
     violations += check_calls(world)
+    violations += check_runs(world)
     for step in world.steps:
         violations += check_step(world, step)
     return violations
@@ -106,6 +107,16 @@
     return []
 
 
+def check_runs(world: BatchWorld) -> list[str]:
+    """No item reaches a worker too long after all its batches have ended."""
+    found: list[str] = []
+    for at, _, worker_id, item_id in world.fleet.runs:
+        steps = [step for step in world.steps if item_id in step.item_ids and step.submitted_at <= at]
+        if steps and all(step.ended_at is not None and at > step.ended_at + CANCEL_S for step in steps):
+            found.append(f"{item_id} reached {worker_id} at {at}, too long after the end of its batch")
+    return found
+
+
 def check_calls(world: BatchWorld) -> list[str]:
     """No call goes out before its text is whole, nor after all batches of its item have ended."""
     found: list[str] = []
