--- a/src/worksramp/rollout/carried_items.py
+++ b/src/worksramp/rollout/carried_items.py
@@ -1,9 +1,9 @@
 """Items of ended batches that run on, since trainers ask again for groups that were not whole.
 
 An item that comes back counts among those that the trainer waits for, and its text must be of weights that
-the later batch allows. So it runs on under the newest version named, after what is open, and the batch that brings
-it back goes on from its text. Nothing is listed or scored meanwhile, and no run begins once the end of the
-batch must have cancelled it.
+the later batch allows. So it runs on under the newest version named, after what is open, and the batch that
+brings it back goes on from its text. Nothing is listed or scored meanwhile, and no run begins once the end of
+the batch must have cancelled it.
 """
 
 import anyio
