Nodes that have not heard of the store refuse at once and are not ready; texts are kept in the log twice as often

Change: refusals_when_cut_off, a node that has not heard of the store for 1.2 of the settle bound refuses at once, with a time to come back; unready_when_cut_off, a node whose configuration cannot be confirmed within its bound is not ready. Texts so far are written each 0.4 s from 4 new events on, before each 0.8 s from 6 on.

--- a/src/worksramp/edge/node.py
+++ b/src/worksramp/edge/node.py
@@ -26,6 +26,7 @@
 )
 from worksramp.edge.settings import EdgeBounds, EdgeSettings
 from worksramp.edge.shard import BatchShard, ShardContext
+from worksramp.mechanisms import mechanism
 from worksramp.rollout.batch_service import BatchService, ServiceTimes
 from worksramp.rollout.batch_values import BatchValues
 from worksramp.rollout.owner_context import TableSource
@@ -70,6 +71,12 @@
     )
 
 
+@mechanism("unready_when_cut_off", without=lambda node: True)
+def _may_be_ready(node: "EdgeNode") -> bool:
+    """Send new callers elsewhere while the configuration in force cannot be confirmed within its bound."""
+    return node.is_table_fresh()
+
+
 @dataclass(slots=True)
 class EdgeNode:
     """One edge node, apart from its HTTP server."""
@@ -134,7 +141,9 @@
             self.records.batches,
             self.shard.ledger,
             self.shard.replica,
-            ServiceTimes(answer=bounds.acknowledge / 3, freshness=0.8 * bounds.settle),
+            ServiceTimes(
+                answer=bounds.acknowledge / 3, freshness=0.8 * bounds.settle, cut_off=1.2 * bounds.settle
+            ),
         )
         self._add_gauges()
 
@@ -194,7 +203,7 @@
     @property
     def is_ready(self) -> bool:
         """Whether new callers should come here."""
-        return self.is_loaded and not self.is_stopping
+        return self.is_loaded and not self.is_stopping and _may_be_ready(self)
 
     def is_table_fresh(self) -> bool:
         """Return whether the configuration in force was confirmed within its bound."""
--- a/src/worksramp/rollout/batch_service.py
+++ b/src/worksramp/rollout/batch_service.py
@@ -22,6 +22,7 @@
 )
 
 MAX_PAGE_BYTES = 900_000
+CUT_OFF = "store_not_heard"
 #: One read of the store in calm, with room for a slow one.
 CATCH_UP_S = 0.05
 
@@ -80,16 +81,24 @@
     Attributes:
         answer: longest time in which the log must answer.
         freshness: how recently a copy must have been confirmed before it says that something is not there.
+        cut_off: a node that has not heard of the store for this long refuses at once.
     """
 
     answer: float
     freshness: float
+    cut_off: float
 
 
 async def _stay_behind(replica: KeyedReplica) -> None:
     """Read from the copy as it is."""
 
 
+@mechanism("refusals_when_cut_off", without=lambda replica, limit_s: False)
+def _is_cut_off(replica: KeyedReplica, limit_s: float) -> bool:
+    """Refuse at once while the store has not been heard of: another node may reach it."""
+    return replica.is_loaded and replica.confirmed_age() > limit_s
+
+
 @mechanism("reads_catch_up", without=_stay_behind)
 async def _catch_up(replica: KeyedReplica) -> None:
     """Have readers of results see what was listed during a pause of the copy."""
@@ -123,6 +132,8 @@
         """
         if header.batch_id in self._ledger.batches:
             return Accepted()
+        if self._is_cut_off():
+            return Refused(CUT_OFF, retry_after_seconds)
         placed = await self._values.put_items(header, items, self._times.answer)
         if isinstance(placed, NotStored):
             return Refused(placed.reason, retry_after_seconds)
@@ -139,6 +150,8 @@
             return batch
         if batch.is_ended:
             return Accepted()
+        if self._is_cut_off():
+            return Refused(CUT_OFF, retry_after_seconds)
         return await self._append(record_of_end(batch_id), retry_after_seconds)
 
     async def read(
@@ -148,6 +161,8 @@
         batch = await self._find(batch_id)
         if not isinstance(batch, Batch):
             return batch
+        if self._is_cut_off():
+            return NotSure(CUT_OFF)
         num_items = len(batch.header.item_ids)
         await _catch_up(self._replica)
         if start not in batch.results and start < num_items:
@@ -170,6 +185,8 @@
             return batch
         if item_id not in batch.header.item_ids:
             return NoSuchBatch()
+        if self._is_cut_off():
+            return NotSure(CUT_OFF)
         index = batch.header.item_ids.index(item_id)
         try:
             with anyio.fail_after(self._times.answer):
@@ -177,6 +194,9 @@
         except (ValuesUnavailableError, TimeoutError) as error:
             return NotSure(f"item: {error}")
 
+    def _is_cut_off(self) -> bool:
+        return _is_cut_off(self._replica, self._times.cut_off)
+
     async def _find(self, batch_id: str) -> Batch | NoSuchBatch | NotSure:
         batch = self._ledger.batches.get(batch_id)
         if batch is not None:
--- a/src/worksramp/rollout/text_keeper.py
+++ b/src/worksramp/rollout/text_keeper.py
@@ -15,8 +15,8 @@
 from worksramp.rollout.owner_context import OwnerContext
 from worksramp.wire import decode, encode
 
-CHECKPOINT_SECONDS = 0.8
-MIN_CHECKPOINT_PIECES = 6
+CHECKPOINT_SECONDS = 0.4
+MIN_CHECKPOINT_PIECES = 4
 WRITE_TIMEOUT_SECONDS = 2.0
 LOAD_AGAIN_SECONDS = 0.1
 FORGET_PAUSE_SECONDS = 5.0
