--- a/src/worksramp/weights/version_moves.py
+++ b/src/worksramp/weights/version_moves.py
@@ -128,7 +128,7 @@
 
 @mechanism("first_load_beside_runs", without=lambda need: [])
 def _first_move(need: ModelNeed) -> list[Move]:
-    """Have one home load beside its runs, so that items that will come back can begin on the newest version."""
+    """Have one home load beside its runs, so that items to come back can begin on the newest version."""
     if need.has_one_version_runs or any(
         worker.version >= need.named_version or worker.is_loading_this for worker in need.workers
     ):
