--- a/tests/unit/test_batch_decisions.py
+++ b/tests/unit/test_batch_decisions.py
@@ -15,9 +15,10 @@
 )
 from worksramp.rollout.batch_run import TextBuilder
 from worksramp.rollout.batch_schedule import Place, WaitingItem, assign, pace_tier
-from worksramp.rollout.batches import BatchItem
-from worksramp.rollout.item_work import ItemWork
+from worksramp.rollout.batches import BatchItem, Score
+from worksramp.rollout.item_work import ItemWork, longer_text
 from worksramp.rollout.pace import PaceTracker
+from worksramp.routing.events import StreamEvent
 from worksramp.routing.failure_tracker import FailureTracker
 from worksramp.routing.table import Route, RouteKind, SplitPart
 from worksramp.weights.model_homes import HomeCandidate, ModelDemand, place_models
@@ -272,3 +273,23 @@
     loading = WorkerVersion("loads", 2, 1, True, is_loading_this=True)
     assert decide_moves([need(*busy, loading, min_version=2)], 1, 2) == []
     assert decide_moves([need(*busy, min_version=2, num_waiting=1)], 0, 2) == []
+
+
+def scored_text() -> TextBuilder:
+    return TextBuilder(["a", "b"], "1", [3], is_whole=True, score=Score("call", "signature"))
+
+
+def test_a_text_that_is_made_anew_loses_its_score_and_a_kept_one_does_not() -> None:
+    text = scored_text()
+    assert TextBuilder.from_text(text.freeze("b1")).score == Score("call", "signature")
+    text.clear()
+    assert text.score is None
+    grown = scored_text()
+    grown.add(StreamEvent(b"", "2", "c", {}), 3)
+    assert grown.score is None
+
+
+def test_the_longer_text_goes_on_and_failures_stay_counted() -> None:
+    kept, carried = TextBuilder(["a"], "0", [3], num_failures=2), TextBuilder(["a", "b"], "1", [4])
+    assert (longer_text(kept, carried).pieces, longer_text(kept, carried).num_failures) == (["a", "b"], 2)
+    assert longer_text(carried, kept) is carried
