--- a/src/worksramp/weights/version_moves.py
+++ b/src/worksramp/weights/version_moves.py
@@ -15,8 +15,6 @@
 #: (2 of 5 and 6 workers, 10 of 24).
 MAX_LOADING_SHARE = 0.4
 MIN_MAX_LOADING = 2
-#: Homes that keep taking runs while one loads beside its own.
-MIN_HOMES_LEFT = 3
 
 
 def max_loading_of(num_workers: int) -> int:
@@ -123,23 +121,7 @@
         _move(need, worker)
         for worker in _movable(need)
         if need.is_home(worker) and worker.version >= need.min_version and worker.num_running == 0
-    ] + _first_move(need)
-
-
-@mechanism("first_load_beside_runs", without=lambda need: [])
-def _first_move(need: ModelNeed) -> list[Move]:
-    """Have one home load beside its runs, so that items to come back can begin on the newest version."""
-    if need.has_one_version_runs or any(
-        worker.version >= need.named_version or worker.is_loading_this for worker in need.workers
-    ):
-        return []
-    homes = [
-        worker
-        for worker in _movable(need)
-        if need.is_home(worker) and worker.version >= need.min_version and not worker.is_slow
     ]
-    homes.sort(key=lambda worker: worker.num_running)
-    return [_move(need, worker) for worker in homes[:1]] if len(homes) > MIN_HOMES_LEFT else []
 
 
 def _num_slots_in_sight(need: ModelNeed) -> int:
