--- a/src/worksramp/routing/attempts.py
+++ b/src/worksramp/routing/attempts.py
@@ -8,6 +8,7 @@
 import structlog
 
 from worksramp.mechanisms import mechanism
+from worksramp.routing.fingerprint import HOST_HEADER, fingerprint_of
 from worksramp.routing.table import Route
 from worksramp.routing.worker_port import HeaderList, WorkerAnswer, WorkerRequest
 from worksramp.routing.workers import WorkerDirectory, WorkerState
@@ -34,7 +35,9 @@
     """A caller's request, read whole.
 
     Attributes:
+        request_id: the caller's id of this try.
         deadline_at: when the caller stops waiting, on this node's clock.
+        fingerprint: the same for all tries of the request, at any node.
     """
 
     request_id: str
@@ -45,6 +48,11 @@
     received_at: float
     deadline_at: float
     resume_after: str | None = None
+    fingerprint: str = field(init=False, compare=False)
+
+    def __post_init__(self) -> None:
+        host = next((value for key, value in self.headers if key.lower() == HOST_HEADER), b"")
+        object.__setattr__(self, "fingerprint", fingerprint_of(self.method, host, self.target, self.body))
 
     def ends_at(self, route: Route) -> float:
         """Return when this node must have given its final answer."""
@@ -174,7 +182,9 @@
         logger.info(
             "attempt_failed",
             request_id=request.request_id,
+            fingerprint=request.fingerprint,
             worker=worker.entry.worker_id,
+            beside=",".join(worker.running_beside(request.fingerprint)),
             reason=reason,
             may_have_run=course.may_have_run,
         )
--- a/src/worksramp/routing/forward.py
+++ b/src/worksramp/routing/forward.py
@@ -89,6 +89,7 @@
         logger.info(
             "request_forwarded",
             request_id=request.request_id,
+            fingerprint=request.fingerprint,
             route=route.name,
             outcome=type(outcome).__name__,
             status=getattr(outcome, "status", 0),
@@ -162,7 +163,7 @@
     ) -> WholeAnswer | None:
         """Send to one worker and read the whole answer; None when another attempt is needed."""
         started = anyio.current_time()
-        worker.num_in_flight += 1
+        worker.begin(request.fingerprint)
         is_beaten = True
         try:
             with anyio.move_on_after(max(0.0, ends_at - started)):
@@ -187,5 +188,5 @@
             if is_beaten:
                 # Cancelled, or out of time: without this a worker that hangs would look as fast as before.
                 self._choice.note_beaten(worker, anyio.current_time() - started)
-            worker.num_in_flight -= 1
+            worker.end(request.fingerprint)
         return None
--- a/src/worksramp/routing/live_stream.py
+++ b/src/worksramp/routing/live_stream.py
@@ -79,8 +79,8 @@
 
     async def _send(self, worker: WorkerState, request: LiveRequest) -> WorkerAnswer | None:
         """Send to one worker; None when it has not run or its answer was lost."""
-        worker.num_in_flight += 1
-        self._opened.callback(self._note_closed, worker)
+        worker.begin(request.fingerprint)
+        self._opened.callback(worker.end, request.fingerprint)
         is_open = False
         try:
             sending = self._port.send(worker.entry, to_worker(request, self._ends_at))
@@ -145,7 +145,3 @@
             and len(self._course.tried) < self._route.max_attempts
             and anyio.current_time() < self._ends_at
         )
-
-    @staticmethod
-    def _note_closed(worker: WorkerState) -> None:
-        worker.num_in_flight -= 1
--- a/src/worksramp/routing/workers.py
+++ b/src/worksramp/routing/workers.py
@@ -1,5 +1,6 @@
 """Directory of workers as their entries tell it, with what this node has learned itself."""
 
+from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
@@ -38,6 +39,7 @@
         num_recent_failures: broken answers since the last good one.
         latency_seconds: moving mean of answers, None before the first.
         latency_at: when that was last taken in.
+        running: fingerprints of the requests that this node has there now.
     """
 
     entry: WorkerEntry
@@ -51,6 +53,23 @@
     latency_at: float = float("-inf")
     versions: dict[str, int] = field(default_factory=dict)
     is_gone: bool = False
+    running: Counter[str] = field(default_factory=Counter)
+
+    def begin(self, fingerprint: str) -> None:
+        """Take in that a request goes there."""
+        self.num_in_flight += 1
+        self.running[fingerprint] += 1
+
+    def end(self, fingerprint: str) -> None:
+        """Take in that a request is there no more."""
+        self.num_in_flight -= 1
+        self.running[fingerprint] -= 1
+        if self.running[fingerprint] <= 0:
+            del self.running[fingerprint]
+
+    def running_beside(self, fingerprint: str) -> list[str]:
+        """Return the other requests that this node has there now."""
+        return sorted(other for other in self.running if other != fingerprint)
 
     def estimated_load(self, now: float, told_valid_seconds: float) -> float:
         """Return requests at the worker for each of its slots."""
