--- a/src/worksramp_emulator/batch_fleet.py
+++ b/src/worksramp_emulator/batch_fleet.py
@@ -27,6 +27,7 @@
     WorkerUnreachableError,
 )
 from worksramp.routing.workers import WorkerEntry
+from worksramp_emulator.application import ApplicationRecord, served
 
 VERSION_FIELD = "weight-version"
 #: What a scorer needs for one call.
@@ -82,6 +83,7 @@
 
     Attributes:
         is_scorer: it answers scoring calls and runs no items.
+        is_application: it answers live requests and runs no items.
         seconds_per_event: its pace.
         is_dark: it answers nothing and its runs stand still.
         late_orders: share of orders that are not answered and carried out later.
@@ -96,6 +98,7 @@
     is_dark: bool = False
     is_gone: bool = False
     is_scorer: bool = False
+    is_application: bool = False
     late_orders: float = 0.0
     break_share: float = 0.0
     fail_share: float = 0.0
@@ -117,6 +120,7 @@
         self.calls: list[CallSeen] = []
         self.made_versions: dict[tuple[str, int], set[int]] = {}
         self.made_at: dict[tuple[str, int], list[tuple[float, int]]] = {}
+        self.application = ApplicationRecord()
         self.source = source
         self._background = background
 
@@ -181,6 +185,10 @@
         if target.num_running >= target.entry.num_slots or target.loading == self._model:
             yield self._answer(503, target, request, is_not_run=True)
             return
+        if target.is_application:
+            async with served(self._fleet.application, target, self._node, request) as answer:
+                yield answer
+            return
         if target.is_scorer:
             async with self._scored(target, request) as answer:
                 yield answer
