--- a/src/worksramp/edge/metrics.py
+++ b/src/worksramp/edge/metrics.py
@@ -23,6 +23,9 @@
         self.request_seconds = self._histogram(
             "request_seconds", "From reading a live request to its answer", REQUEST_BUCKETS, "kind"
         )
+        self.crash_events = self._counter(
+            "crash_events", "Broken connections to workers and what was decided on them", "event"
+        )
         self.item_runs = self._counter("item_runs", "Runs of items at workers", "outcome")
         self.scoring_calls = self._counter("scoring_calls", "Scoring calls at workers", "outcome")
         self.item_seconds = self._histogram(
--- a/src/worksramp/edge/node.py
+++ b/src/worksramp/edge/node.py
@@ -31,6 +31,7 @@
 from worksramp.rollout.batch_values import BatchValues
 from worksramp.rollout.owner_context import TableSource
 from worksramp.routing.forward import Forwarder, ForwardOutcome
+from worksramp.routing.quarantine import Quarantine
 from worksramp.routing.table import Route, RouteTable
 from worksramp.routing.worker_port import WorkerPort
 from worksramp.routing.workers import WorkerDirectory
@@ -92,6 +93,7 @@
     named_versions: dict[str, int] = field(default_factory=dict)
     num_in_flight: int = 0
     is_stopping: bool = False
+    quarantine: Quarantine = field(init=False)
     forwarder: Forwarder = field(init=False)
     shard: BatchShard = field(init=False)
     batches: BatchService = field(init=False)
@@ -102,8 +104,19 @@
         settings, bounds = self.settings, self.settings.bounds
         poll = poll_seconds(bounds)
         self.log = ObservedLog(self.log, self.metrics)
+        # Crashes stand in the partition of batches, which every node follows as it is: one of their own would
+        # cost each node two more reads a second, beside the six that it makes.
+        self.quarantine = Quarantine(
+            self.port,
+            self.directory,
+            settings.node_id,
+            self.log,
+            self.records.batches,
+            may_try=lambda: self.shard.is_owner,
+            on_event=lambda event: self.metrics.crash_events.labels(event).inc(),
+        )
         self.forwarder = Forwarder(
-            self.directory, self.port, random.Random(), self._note_request, settings.node_id
+            self.directory, self.port, random.Random(), self._note_request, settings.node_id, self.quarantine
         )
         self._control = KeyedReplica(
             self.log, self.records.control, poll, self._take_control, 0.025 * bounds.configuration_apply
@@ -134,6 +147,7 @@
                 num_cores=settings.machine.num_cores,
                 may_own=lambda: self.is_ready,
                 time_of_day=self.time_of_day,
+                take_other_change=self.quarantine.take_change,
             )
         )
         self.batches = BatchService(
@@ -160,6 +174,9 @@
         gauge("lease_epoch", "Epoch of the lease held, 0 for none", lambda: self.shard.epoch)
         gauge("items_waiting", "Items that wait for a worker", lambda: self.shard.num_waiting)
         gauge("items_unscored", "Whole texts that wait for their scores", lambda: self.shard.num_unscored)
+        ledger = self.quarantine.ledger
+        gauge("crash_suspects", "Requests that ran at a worker as it crashed", lambda: ledger.num_suspects)
+        gauge("requests_to_blame", "Requests kept from all workers", lambda: ledger.num_to_blame)
         for state in WORKER_STATES:
             gauge(
                 "workers",
@@ -216,6 +233,7 @@
             group.start_soon(self._workers.follow)
             group.start_soon(self._drop_missing_workers)
             group.start_soon(self.shard.run)
+            group.start_soon(self.quarantine.run)
 
     async def stop(self) -> None:
         """Hand over, stay until callers go elsewhere, and finish what is in flight.
@@ -270,6 +288,7 @@
             self.directory.mark_missing(worker_id, anyio.current_time())
         else:
             self.directory.remove(worker_id)
+            self.quarantine.note_gone(worker_id)
 
     async def _drop_missing_workers(self) -> None:
         while True:
@@ -293,6 +312,8 @@
                     address=event.entry.address,
                     is_leaving=event.entry.is_leaving,
                 )
+            if known is not None and known.entry.started_ms != event.entry.started_ms:
+                self.quarantine.note_gone(event.entry.worker_id)
             self.directory.put(event.entry)
         elif isinstance(event, WorkerGone):
             self._take_worker_gone(event.worker_id)
--- a/src/worksramp/edge/shard.py
+++ b/src/worksramp/edge/shard.py
@@ -51,6 +51,11 @@
 logger = structlog.get_logger()
 
 
+def _is_none_of_others(_: Change) -> bool:
+    """Say that a change is about batches."""
+    return False
+
+
 @dataclass(frozen=True, slots=True)
 class ShardContext:
     """What a node's part in a shard works with.
@@ -62,6 +67,7 @@
         gather_seconds: pause between two reads of a node that does not own the shard.
         values: items and texts of batches.
         progress: texts so far of items.
+        take_other_change: takes in a change that is not about batches; returns whether it was one.
     """
 
     log: SharedLog
@@ -84,6 +90,7 @@
     may_own: Callable[[], bool]
     metrics: NodeMetrics
     time_of_day: Callable[[], float] = time.time
+    take_other_change: Callable[[Change], bool] = _is_none_of_others
 
 
 @dataclass(slots=True)
@@ -171,6 +178,8 @@
         if change.key == OWNER_KEY and change.value is not None:
             self._take_owner_record(decode(change.value, OwnerRecord))
             return
+        if self.context.take_other_change(change):
+            return
         self.ledger.apply(change)
         self.wake()
 
--- a/src/worksramp/routing/attempts.py
+++ b/src/worksramp/routing/attempts.py
@@ -99,6 +99,10 @@
             worker for worker in self._directory.usable(service) if worker.entry.worker_id not in course.tried
         ]
         sound = [worker for worker in fresh if worker.avoid_until <= now] or fresh
+        if course.may_have_run:
+            # One of the requests that a crash broke off may have caused it: tried again at one worker, the
+            # others would be taken along once more, and none of them could be told from it.
+            sound = [worker for worker in sound if not worker.has_suspect] or sound
         return self._choose_among(sound, now) if sound else None
 
     def _lesser_of_two(self, sound: list[WorkerState], now: float) -> WorkerState:
--- a/src/worksramp/routing/fingerprint.py
+++ b/src/worksramp/routing/fingerprint.py
@@ -1,4 +1,4 @@
-"""Identity of a request over all its tries.
+"""Identity of a request over all its tries, and of a worker's crash over all nodes that see it.
 
 A caller's id names one try. What makes tries the same request is what a worker is given to run.
 """
@@ -18,8 +18,17 @@
         host: as the caller named it.
         target: path and query, byte for byte.
     """
+    return _digest_of(method.encode(), host, target, body)
+
+
+def crash_id_of(worker_id: str, started_ms: int) -> str:
+    """Return a name for the end of a worker's start, as hex text that fits into a key of the log."""
+    return _digest_of(worker_id.encode(), str(started_ms).encode())
+
+
+def _digest_of(*parts: bytes) -> str:
     digest = hashlib.blake2b(digest_size=DIGEST_B)
-    for part in (method.encode(), host, target, body):
+    for part in parts:
         # With its length, so that no part runs over into the next.
         digest.update(len(part).to_bytes(8, "big"))
         digest.update(part)
--- a/src/worksramp/routing/forward.py
+++ b/src/worksramp/routing/forward.py
@@ -15,6 +15,7 @@
 from worksramp.routing.attempts import Course, LiveRequest, WholeAnswer, WorkerChoice, to_worker
 from worksramp.routing.hedge import first_result
 from worksramp.routing.live_stream import LiveStream, StreamAnswer
+from worksramp.routing.quarantine import Quarantine
 from worksramp.routing.table import Route, RouteKind
 from worksramp.routing.worker_port import WorkerAnswerBrokenError, WorkerPort, WorkerUnreachableError
 from worksramp.routing.workers import WorkerDirectory, WorkerState
@@ -51,7 +52,14 @@
     is_late: bool
 
 
-ForwardOutcome = WholeAnswer | StreamAnswer | NotRun | MayHaveRun
+@dataclass(frozen=True, slots=True)
+class Quarantined:
+    """The request has crashed workers before; in this try it has not run and will not."""
+
+    reason: str = "crashes_workers"
+
+
+ForwardOutcome = WholeAnswer | StreamAnswer | NotRun | MayHaveRun | Quarantined
 OutcomeObserver = Callable[[Route, ForwardOutcome, float], None]
 
 
@@ -62,7 +70,11 @@
 
 
 class Forwarder:
-    """Forwards live requests of one node."""
+    """Forwards live requests of one node.
+
+    Args:
+        quarantine: shared by the node's parts; None for one that knows only what is forwarded here.
+    """
 
     def __init__(
         self,
@@ -71,8 +83,10 @@
         source: random.Random,
         on_outcome: OutcomeObserver | None = None,
         node: str = "",
+        quarantine: Quarantine | None = None,
     ) -> None:
         self._port = port
+        self._quarantine = quarantine or Quarantine(port, directory, node)
         self._on_outcome = on_outcome
         self._choice = WorkerChoice(directory, source, node)
 
@@ -102,6 +116,8 @@
     async def _forward(
         self, request: LiveRequest, route: Route, stack: AsyncExitStack, course: Course
     ) -> ForwardOutcome:
+        if not self._quarantine.admit(request.request_id, request.fingerprint):
+            return Quarantined()
         last_start = request.ends_at(route) - MIN_ATTEMPT_SECONDS
         service = self._choice.choose_service(route)
         while len(course.tried) < route.max_attempts and anyio.current_time() < last_start:
@@ -111,7 +127,7 @@
             course.tried.append(worker.entry.worker_id)
             outcome: ForwardOutcome | None
             if route.kind is RouteKind.STREAMING:
-                stream = LiveStream(self._port, self._choice, request, route, course)
+                stream = LiveStream(self._port, self._choice, self._quarantine, request, route, course)
                 outcome = await stream.open(worker, stack)
             else:
                 outcome = await self._attempt_with_backup(request, route, service, worker, course)
@@ -119,6 +135,9 @@
                 return outcome
             if course.may_have_run and not route.may_repeat:
                 break
+            if self._quarantine.is_to_blame(request.fingerprint):
+                course.last_reason = Quarantined().reason
+                break
         return self._give_up(course, route, is_late=anyio.current_time() >= last_start)
 
     def _give_up(self, course: Course, route: Route, is_late: bool) -> ForwardOutcome:
@@ -133,7 +152,9 @@
     ) -> WholeAnswer | None:
         """Send to a worker, and to a second one when the first is late and the request may be repeated."""
         ends_at = request.ends_at(route)
-        if not _may_back_up(route) or len(course.tried) >= route.max_attempts:
+        # A second worker at the same time would crash as well, before anything is known.
+        is_alone = self._quarantine.running(request.fingerprint).is_suspect
+        if is_alone or not _may_back_up(route) or len(course.tried) >= route.max_attempts:
             return await self._attempt(request, worker, ends_at, course)
 
         async def attempt() -> WholeAnswer | None:
@@ -163,7 +184,8 @@
     ) -> WholeAnswer | None:
         """Send to one worker and read the whole answer; None when another attempt is needed."""
         started = anyio.current_time()
-        worker.begin(request.fingerprint)
+        running = self._quarantine.running(request.fingerprint)
+        worker.begin(running)
         is_beaten = True
         try:
             with anyio.move_on_after(max(0.0, ends_at - started)):
@@ -173,6 +195,7 @@
                         return None
                     body = b"".join([chunk async for chunk in answer.body])
                     self._choice.note_good(worker, anyio.current_time() - started)
+                    self._quarantine.note_whole_answer(request.fingerprint)
                     is_beaten = False
                     return WholeAnswer(answer.status, answer.headers, body)
             course.may_have_run = True
@@ -184,9 +207,10 @@
             is_beaten = False
             course.may_have_run = True
             self._choice.note_failure(request, worker, course, f"broken: {error}")
+            await self._quarantine.note_broken(worker)
         finally:
             if is_beaten:
                 # Cancelled, or out of time: without this a worker that hangs would look as fast as before.
                 self._choice.note_beaten(worker, anyio.current_time() - started)
-            worker.end(request.fingerprint)
+            worker.end(running)
         return None
--- a/src/worksramp/routing/live_stream.py
+++ b/src/worksramp/routing/live_stream.py
@@ -9,6 +9,7 @@
 
 from worksramp.routing.attempts import Course, LiveRequest, WholeAnswer, WorkerChoice, to_worker
 from worksramp.routing.events import EventSplitter
+from worksramp.routing.quarantine import Quarantine
 from worksramp.routing.table import Route
 from worksramp.routing.worker_port import (
     HeaderList,
@@ -41,15 +42,23 @@
     """
 
     def __init__(
-        self, port: WorkerPort, choice: WorkerChoice, request: LiveRequest, route: Route, course: Course
+        self,
+        port: WorkerPort,
+        choice: WorkerChoice,
+        quarantine: Quarantine,
+        request: LiveRequest,
+        route: Route,
+        course: Course,
     ) -> None:
         self._port = port
         self._choice = choice
+        self._quarantine = quarantine
         self._request = request
         self._route = route
         self._course = course
         self._ends_at = request.ends_at(route)
         self._opened = AsyncExitStack()
+        self._worker: WorkerState | None = None
 
     async def open(self, worker: WorkerState, stack: AsyncExitStack) -> StreamAnswer | WholeAnswer | None:
         """Open the stream at a worker; None when another attempt is needed.
@@ -72,6 +81,7 @@
             body = b"".join([chunk async for chunk in answer.body])
         except WorkerAnswerBrokenError as error:
             self._choice.note_failure(self._request, worker, self._course, f"broken: {error}")
+            await self._quarantine.note_broken(worker)
             return None
         finally:
             await self._opened.aclose()
@@ -79,8 +89,10 @@
 
     async def _send(self, worker: WorkerState, request: LiveRequest) -> WorkerAnswer | None:
         """Send to one worker; None when it has not run or its answer was lost."""
-        worker.begin(request.fingerprint)
-        self._opened.callback(worker.end, request.fingerprint)
+        running = self._quarantine.running(request.fingerprint)
+        self._worker = worker
+        worker.begin(running)
+        self._opened.callback(worker.end, running)
         is_open = False
         try:
             sending = self._port.send(worker.entry, to_worker(request, self._ends_at))
@@ -92,6 +104,7 @@
         except WorkerAnswerBrokenError as error:
             self._course.may_have_run = True
             self._choice.note_failure(request, worker, self._course, f"broken: {error}")
+            await self._quarantine.note_broken(worker)
         except anyio.get_cancelled_exc_class():
             self._course.may_have_run = True
             self._course.last_reason = "deadline"
@@ -112,9 +125,12 @@
                         last_id = event.event_id or last_id
                         yield event.block
                 if not splitter.has_rest:
+                    self._quarantine.note_whole_answer(self._request.fingerprint)
                     return
             except WorkerAnswerBrokenError as error:
                 reason = str(error)
+            if self._worker is not None:
+                await self._quarantine.note_broken(self._worker)
             await self._opened.aclose()
             logger.info(
                 "stream_broken", request_id=self._request.request_id, last_event_id=last_id, reason=reason
@@ -142,6 +158,7 @@
     def _may_resume(self) -> bool:
         return (
             self._route.is_resumable
+            and not self._quarantine.is_to_blame(self._request.fingerprint)
             and len(self._course.tried) < self._route.max_attempts
             and anyio.current_time() < self._ends_at
         )
--- a/src/worksramp/routing/worker_port.py
+++ b/src/worksramp/routing/worker_port.py
@@ -80,6 +80,14 @@
     """The answer ended early or was not an answer to this request; it may have run."""
 
 
+class ListenerState(StrEnum):
+    """What became of a new connection to a worker that no request was sent on."""
+
+    ACCEPTS = "accepts"
+    REFUSES = "refuses"
+    SILENT = "silent"
+
+
 class RunsDuringLoad(StrEnum):
     """What becomes of a worker's runs when it takes other weights."""
 
@@ -167,6 +175,10 @@
             WorkerAnswerBrokenError: no whole answer to this request, when entering or from the body.
         """
 
+    @abstractmethod
+    async def listener_state(self, worker: WorkerEntry) -> ListenerState:
+        """Return whether a worker takes connections now, well within a second."""
+
     @abstractmethod
     async def order_version(self, worker: WorkerEntry, order: VersionOrder) -> OrderOutcome:
         """Order a worker to take a version."""
--- a/src/worksramp/routing/workers.py
+++ b/src/worksramp/routing/workers.py
@@ -16,6 +16,7 @@
         num_slots: requests it runs at once.
         model_versions: version of each model it holds.
         order_sequence: orders it has taken, as far as the entry says.
+        started_ms: time of day of its start in milliseconds, 0 when not told.
     """
 
     worker_id: str
@@ -26,6 +27,19 @@
     is_leaving: bool = False
     model_versions: dict[str, int] = field(default_factory=dict)
     order_sequence: int = 0
+    started_ms: int = 0
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class RunningRequest:
+    """A request as it was put to a worker.
+
+    Attributes:
+        is_suspect: it was known by then that a worker had crashed while running it.
+    """
+
+    fingerprint: str
+    is_suspect: bool = False
 
 
 @dataclass(slots=True)
@@ -39,7 +53,7 @@
         num_recent_failures: broken answers since the last good one.
         latency_seconds: moving mean of answers, None before the first.
         latency_at: when that was last taken in.
-        running: fingerprints of the requests that this node has there now.
+        running: requests that this node has there now.
     """
 
     entry: WorkerEntry
@@ -53,23 +67,28 @@
     latency_at: float = float("-inf")
     versions: dict[str, int] = field(default_factory=dict)
     is_gone: bool = False
-    running: Counter[str] = field(default_factory=Counter)
+    running: Counter[RunningRequest] = field(default_factory=Counter)
 
-    def begin(self, fingerprint: str) -> None:
+    def begin(self, request: RunningRequest) -> None:
         """Take in that a request goes there."""
         self.num_in_flight += 1
-        self.running[fingerprint] += 1
+        self.running[request] += 1
 
-    def end(self, fingerprint: str) -> None:
+    def end(self, request: RunningRequest) -> None:
         """Take in that a request is there no more."""
         self.num_in_flight -= 1
-        self.running[fingerprint] -= 1
-        if self.running[fingerprint] <= 0:
-            del self.running[fingerprint]
+        self.running[request] -= 1
+        if self.running[request] <= 0:
+            del self.running[request]
 
     def running_beside(self, fingerprint: str) -> list[str]:
-        """Return the other requests that this node has there now."""
-        return sorted(other for other in self.running if other != fingerprint)
+        """Return the fingerprints of the other requests that this node has there now."""
+        return sorted({other.fingerprint for other in self.running if other.fingerprint != fingerprint})
+
+    @property
+    def has_suspect(self) -> bool:
+        """Whether a request runs there under which another worker has crashed."""
+        return any(request.is_suspect for request in self.running)
 
     def estimated_load(self, now: float, told_valid_seconds: float) -> float:
         """Return requests at the worker for each of its slots."""
--- a/src/worksramp_emulator/batch_fleet.py
+++ b/src/worksramp_emulator/batch_fleet.py
@@ -13,6 +13,7 @@
 import xxhash
 
 from worksramp.routing.worker_port import (
+    ListenerState,
     OrderHeldAlready,
     OrderOpen,
     OrderOutcome,
@@ -121,6 +122,8 @@
         self.made_versions: dict[tuple[str, int], set[int]] = {}
         self.made_at: dict[tuple[str, int], list[tuple[float, int]]] = {}
         self.application = ApplicationRecord()
+        #: The machines of workers that ended are gone too: nobody refuses a connection to them.
+        self.hides_ends = False
         self.source = source
         self._background = background
 
@@ -273,6 +276,14 @@
             self._fleet.made_at.setdefault((item_id, number), []).append((anyio.current_time(), version))
             yield block
 
+    async def listener_state(self, worker: WorkerEntry) -> ListenerState:
+        """Return whether a worker takes connections now."""
+        target = self._fleet.workers.get(worker.worker_id)
+        await anyio.sleep(0.002)
+        if target is None or target.is_gone:
+            return ListenerState.SILENT if self._fleet.hides_ends else ListenerState.REFUSES
+        return ListenerState.SILENT if target.is_dark else ListenerState.ACCEPTS
+
     async def order_version(self, worker: WorkerEntry, order: VersionOrder) -> OrderOutcome:
         """Order a worker to take a version."""
         target = self._fleet.workers.get(worker.worker_id)
--- a/tests/unit/test_forward.py
+++ b/tests/unit/test_forward.py
@@ -14,6 +14,7 @@
 from worksramp.routing.live_stream import StreamAnswer
 from worksramp.routing.table import Route, RouteKind, SplitPart
 from worksramp.routing.worker_port import (
+    ListenerState,
     OrderOutcome,
     VersionOrder,
     WorkerAnswer,
@@ -44,6 +45,7 @@
     scripts: list[Script]
     sent: list[tuple[str, WorkerRequest]] = field(default_factory=list)
     num_open: int = 0
+    listener: ListenerState = ListenerState.ACCEPTS
     version_field = "version"
 
     @asynccontextmanager
@@ -77,6 +79,9 @@
         if script.kind == "cut":
             raise WorkerAnswerBrokenError("cut")
 
+    async def listener_state(self, worker: WorkerEntry) -> ListenerState:
+        return self.listener
+
     async def order_version(self, worker: WorkerEntry, order: VersionOrder) -> OrderOutcome:
         raise NotImplementedError
 
