--- a/src/worksramp/edge/node.py
+++ b/src/worksramp/edge/node.py
@@ -147,7 +147,7 @@
                 num_cores=settings.machine.num_cores,
                 may_own=lambda: self.is_ready,
                 time_of_day=self.time_of_day,
-                take_other_change=self.quarantine.take_change,
+                quarantine=self.quarantine,
             )
         )
         self.batches = BatchService(
--- a/src/worksramp/edge/shard.py
+++ b/src/worksramp/edge/shard.py
@@ -36,6 +36,7 @@
 from worksramp.rollout.batch_values import BatchValues
 from worksramp.rollout.batches import BatchLedger
 from worksramp.rollout.owner_context import OwnerContext, TableSource
+from worksramp.routing.quarantine import Quarantine
 from worksramp.routing.worker_port import WorkerPort
 from worksramp.routing.workers import WorkerDirectory
 from worksramp.weights.version_mover import MoverContext, VersionMover
@@ -51,11 +52,6 @@
 logger = structlog.get_logger()
 
 
-def _is_none_of_others(_: Change) -> bool:
-    """Say that a change is about batches."""
-    return False
-
-
 @dataclass(frozen=True, slots=True)
 class ShardContext:
     """What a node's part in a shard works with.
@@ -67,7 +63,7 @@
         gather_seconds: pause between two reads of a node that does not own the shard.
         values: items and texts of batches.
         progress: texts so far of items.
-        take_other_change: takes in a change that is not about batches; returns whether it was one.
+        quarantine: takes the records of crashes, which stand in the same partition.
     """
 
     log: SharedLog
@@ -88,9 +84,9 @@
     cancel_s: float
     num_cores: float
     may_own: Callable[[], bool]
+    quarantine: Quarantine
     metrics: NodeMetrics
     time_of_day: Callable[[], float] = time.time
-    take_other_change: Callable[[Change], bool] = _is_none_of_others
 
 
 @dataclass(slots=True)
@@ -178,7 +174,7 @@
         if change.key == OWNER_KEY and change.value is not None:
             self._take_owner_record(decode(change.value, OwnerRecord))
             return
-        if self.context.take_other_change(change):
+        if self.context.quarantine.take_change(change):
             return
         self.ledger.apply(change)
         self.wake()
@@ -276,6 +272,7 @@
                 context.status_seconds,
                 context.named_versions,
                 context.cancel_s,
+                context.quarantine,
                 context.time_of_day,
                 lambda outcome: context.metrics.item_runs.labels(outcome).inc(),
                 lambda outcome: context.metrics.scoring_calls.labels(outcome).inc(),
--- a/src/worksramp/rollout/batch_run.py
+++ b/src/worksramp/rollout/batch_run.py
@@ -7,6 +7,7 @@
 
 from worksramp.rollout.batches import BatchItem, GeneratedText, Score
 from worksramp.routing.events import EventSplitter, StreamEvent
+from worksramp.routing.fingerprint import fingerprint_of
 from worksramp.routing.worker_port import (
     WorkerAnswer,
     WorkerAnswerBrokenError,
@@ -16,6 +17,7 @@
 )
 from worksramp.routing.workers import WorkerEntry
 
+METHOD = "POST"
 STATUS_OK = 200
 STATUS_NEVER = 422
 STATUS_FAILED = 500
@@ -96,9 +98,14 @@
 
 @dataclass(frozen=True, slots=True)
 class RunBroken:
-    """The run ended early; its whole events were kept."""
+    """The run ended early; its whole events were kept.
+
+    Attributes:
+        is_connection_lost: the connection broke, as it does when the worker crashes.
+    """
 
     reason: str
+    is_connection_lost: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -146,13 +153,18 @@
     return not (spec.needs_one_version and text.versions and text.versions != [version])
 
 
+def fingerprint_of_run(spec: RunSpec) -> str:
+    """Return what is the same for all runs of an item."""
+    return fingerprint_of(METHOD, spec.host.encode(), spec.item.target.encode(), spec.item.body)
+
+
 def request_for(spec: RunSpec, text: TextBuilder) -> WorkerRequest:
     """Return the request of a run that goes on after the text so far."""
     headers = [(b"host", spec.host.encode())]
     headers += [(name.encode(), value.encode()) for name, value in spec.item.headers]
     return WorkerRequest(
         request_id=spec.item.item_id,
-        method="POST",
+        method=METHOD,
         target=spec.item.target.encode(),
         headers=tuple(headers),
         body=spec.item.body,
@@ -180,7 +192,7 @@
     except WorkerUnreachableError as error:
         return RunNotBegun(f"unreachable: {error}")
     except WorkerAnswerBrokenError as error:
-        return RunBroken(str(error))
+        return RunBroken(str(error), is_connection_lost=True)
 
 
 def _refusal(answer: WorkerAnswer) -> RunOutcome:
@@ -217,6 +229,6 @@
             on_event()
         await anyio.lowlevel.checkpoint_if_cancelled()
     if splitter.has_rest:
-        return RunBroken("ended inside an event")
+        return RunBroken("ended inside an event", is_connection_lost=True)
     text.is_whole = True
     return RunFinished()
--- a/src/worksramp/rollout/item_runner.py
+++ b/src/worksramp/rollout/item_runner.py
@@ -16,6 +16,7 @@
     RunOutcome,
     RunSpec,
     RunWrongVersion,
+    fingerprint_of_run,
     run_item,
 )
 from worksramp.rollout.batch_schedule import Assignment, assign
@@ -31,6 +32,7 @@
 from worksramp.rollout.pace import PaceTracker
 from worksramp.rollout.stage_clock import Stage
 from worksramp.routing.failure_tracker import FailureTracker
+from worksramp.routing.workers import WorkerState
 
 FAILURE_PAUSE_SECONDS = 0.1
 #: Runs of open batches, which have the workers' default of 5, displace those of ended ones.
@@ -104,7 +106,7 @@
         num_before = len(work.text.pieces)
         if state is not None:
             with run.scope:
-                outcome = await run_item(self._context.port, state.entry, spec, work.text, note_event)
+                outcome = await self._run_at(state, spec, work, note_event)
             if run.scope.cancelled_caught:
                 outcome = RunBroken("moved" if run.is_moving else "closed")
         work.run = None
@@ -114,6 +116,24 @@
             self._take_outcome(work, run, outcome, len(work.text.pieces) - num_before)
         self._wake()
 
+    async def _run_at(
+        self, state: WorkerState, spec: RunSpec, work: ItemWork, note_event: Callable[[], None]
+    ) -> RunOutcome:
+        """Run an item at a worker, and take in what it shows of crashes."""
+        quarantine = self._context.quarantine
+        running = quarantine.running(fingerprint_of_run(spec))
+        state.begin_item(running)
+        try:
+            outcome = await run_item(self._context.port, state.entry, spec, work.text, note_event)
+            if isinstance(outcome, RunBroken) and outcome.is_connection_lost:
+                await quarantine.note_broken(state)
+                work.wait_until = anyio.current_time() + quarantine.pause_s(running.fingerprint)
+            elif isinstance(outcome, RunFinished | RunFailed):
+                quarantine.note_whole_answer(running.fingerprint)
+        finally:
+            state.end_item(running)
+        return outcome
+
     def _take_outcome(self, work: ItemWork, run: Run, outcome: RunOutcome, num_new: int) -> None:
         now = anyio.current_time()
         if isinstance(outcome, RunFinished | RunFailed | RunBroken) and not run.is_moving:
--- a/src/worksramp/rollout/item_scorer.py
+++ b/src/worksramp/rollout/item_scorer.py
@@ -22,6 +22,7 @@
     ScoringNotRun,
     ScoringOutcome,
     call_scorer,
+    fingerprint_of_call,
 )
 from worksramp.rollout.scoring_schedule import ScorerPlace, UnscoredItem, assign_calls
 from worksramp.rollout.scoring_times import ScoringTimes
@@ -34,6 +35,8 @@
 AVOID_AFTER_BREAK_S = 0.6
 #: What can never be answered well is asked again as rarely as this: a configuration may change the scorer.
 IMPOSSIBLE_PAUSE_S = 2.0
+#: A call that crashes scorers is asked about again as rarely as this.
+CRASHING_PAUSE_S = 2.0
 #: After an error or a lost answer, before the next call of the same item.
 FAILURE_PAUSE_S = 0.05
 #: Calls of one item under way at a time: the first, and one for it when it is late.
@@ -162,6 +165,9 @@
         if state is None or scoring_call is None:
             return
         scoring = work.scoring
+        if not self._context.quarantine.admit(scoring_call.call_id, fingerprint_of_call(scoring_call)):
+            scoring.wait_until = now + CRASHING_PAUSE_S
+            return
         if scoring.ends_at <= now:
             scoring.ends_at = now + work.route.target_seconds
         call = ScorerCall(worker_id, anyio.CancelScope(), now)
@@ -174,7 +180,9 @@
     ) -> None:
         deadline_s = work.scoring.ends_at - call.started_at
         outcome: ScoringOutcome = ScoringLost("closed")
-        state.num_in_flight += 1
+        quarantine = self._context.quarantine
+        running = quarantine.running(fingerprint_of_call(scoring_call))
+        state.begin(running)
         try:
             with call.scope:
                 answer = await call_scorer(self._context.port, state.entry, scoring_call, deadline_s)
@@ -182,8 +190,12 @@
                 if answer.load is not None:
                     state.told_running, state.told_waiting = answer.load.num_running, answer.load.num_waiting
                     state.told_at = anyio.current_time()
+            if isinstance(outcome, ScoringLost) and outcome.is_connection_lost:
+                await quarantine.note_broken(state)
+            elif isinstance(outcome, Scored | ScoringFailed | ScoringImpossible):
+                quarantine.note_whole_answer(running.fingerprint)
         finally:
-            state.num_in_flight -= 1
+            state.end(running)
             work.scoring.calls.remove(call)
         self._context.on_scoring_ended(type(outcome).__name__)
         if work.needs_score:
--- a/src/worksramp/rollout/owner_context.py
+++ b/src/worksramp/rollout/owner_context.py
@@ -8,6 +8,7 @@
 from worksramp.coordination.value_store import ValueStore
 from worksramp.rollout.batch_values import BatchValues
 from worksramp.rollout.batches import BatchLedger
+from worksramp.routing.quarantine import Quarantine
 from worksramp.routing.table import RouteTable
 from worksramp.routing.worker_port import WorkerPort
 from worksramp.routing.workers import WorkerDirectory
@@ -34,6 +35,7 @@
         table: where the configuration in force is found.
         named_versions: newest version of each model, kept up to date by the node.
         cancel_s: an item must reach no worker later than this after the end of its batch.
+        quarantine: what is known of requests that crash workers.
         status_seconds: age until which the results of an ended batch are kept.
         time_of_day: seconds, as batches are stamped.
         on_run_ended: told the class of each run's outcome.
@@ -52,6 +54,7 @@
     status_seconds: float
     named_versions: dict[str, int]
     cancel_s: float
+    quarantine: Quarantine
     time_of_day: Callable[[], float] = time.time
     on_run_ended: Callable[[str], None] = _ignore
     on_scoring_ended: Callable[[str], None] = _ignore
--- a/src/worksramp/rollout/scoring_call.py
+++ b/src/worksramp/rollout/scoring_call.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from worksramp.rollout.batches import Score, ScoringCall
+from worksramp.routing.fingerprint import fingerprint_of
 from worksramp.routing.worker_port import (
     ToldLoad,
     WorkerAnswer,
@@ -13,6 +14,7 @@
 )
 from worksramp.routing.workers import WorkerEntry
 
+METHOD = "POST"
 STATUS_FAILED = 500
 STATUS_NEVER = 422
 
@@ -40,9 +42,14 @@
 
 @dataclass(frozen=True, slots=True)
 class ScoringLost:
-    """The call may have run; its answer did not come whole."""
+    """The call may have run; its answer did not come whole.
+
+    Attributes:
+        is_connection_lost: the connection broke, as it does when the worker crashes.
+    """
 
     reason: str
+    is_connection_lost: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,13 +95,18 @@
     except WorkerUnreachableError as exc:
         return ScoringAnswer(ScoringNotRun(f"unreachable: {exc}", is_unreachable=True))
     except WorkerAnswerBrokenError as exc:
-        return ScoringAnswer(ScoringLost(str(exc)))
+        return ScoringAnswer(ScoringLost(str(exc), is_connection_lost=True))
+
+
+def fingerprint_of_call(call: ScoringCall) -> str:
+    """Return what is the same for all sends of a scoring call."""
+    return fingerprint_of(METHOD, call.host.encode("latin-1"), call.target.encode("latin-1"), call.body)
 
 
 def _request(call: ScoringCall, deadline_s: float) -> WorkerRequest:
     return WorkerRequest(
         request_id=call.call_id,
-        method="POST",
+        method=METHOD,
         target=call.target.encode("latin-1"),
         headers=((b"host", call.host.encode("latin-1")),),
         body=call.body,
--- a/src/worksramp/routing/quarantine.py
+++ b/src/worksramp/routing/quarantine.py
@@ -34,6 +34,9 @@
 #: further one: one worker of a service is lost to it for 3 s in 120 s at most.
 FIRST_TRIAL_S = 120.0
 TRIAL_FACTOR = 4.0
+#: Pauses of items of batches, which must be begun again within 5 s. Source: the users' rule on open items.
+FIRST_PAUSE_S = 1.0
+MAX_PAUSE_S = 4.0
 #: A worker's entry goes within three heartbeats of its end; this is well over those of all known fleets.
 UNCONFIRMED_S = 10.0
 MAX_UNCONFIRMED = 64
@@ -122,6 +125,13 @@
         """Return whether a request must go to no further worker."""
         return self.ledger.is_to_blame(fingerprint)
 
+    def pause_s(self, fingerprint: str) -> float:
+        """Return how long a request that may not be given up pauses between two workers."""
+        if not self.ledger.is_to_blame(fingerprint):
+            return 0.0
+        num_further = self.ledger.num_crashes(fingerprint) - MAX_CRASHES_ALONE
+        return min(FIRST_PAUSE_S * 2.0 ** max(0, num_further), MAX_PAUSE_S)
+
     def running(self, fingerprint: str) -> RunningRequest:
         """Return a request as it is now put to a worker."""
         return RunningRequest(fingerprint, is_suspect=self.ledger.is_suspect(fingerprint))
--- a/src/worksramp/routing/workers.py
+++ b/src/worksramp/routing/workers.py
@@ -72,11 +72,19 @@
     def begin(self, request: RunningRequest) -> None:
         """Take in that a request goes there."""
         self.num_in_flight += 1
-        self.running[request] += 1
+        self.begin_item(request)
 
     def end(self, request: RunningRequest) -> None:
         """Take in that a request is there no more."""
         self.num_in_flight -= 1
+        self.end_item(request)
+
+    def begin_item(self, request: RunningRequest) -> None:
+        """Take in that an item of a batch goes there; the owner keeps count of those itself."""
+        self.running[request] += 1
+
+    def end_item(self, request: RunningRequest) -> None:
+        """Take in that an item of a batch is there no more."""
         self.running[request] -= 1
         if self.running[request] <= 0:
             del self.running[request]
