--- a/src/worksramp/routing/forward.py
+++ b/src/worksramp/routing/forward.py
@@ -116,7 +116,7 @@
     async def _forward(
         self, request: LiveRequest, route: Route, stack: AsyncExitStack, course: Course
     ) -> ForwardOutcome:
-        # The route bounds the workers of one try alone: a caller that comes again would go on to further ones.
+        # The route bounds the workers of one try only: a caller that comes again would go on to further ones.
         if not self._quarantine.admit(request.request_id, request.fingerprint):
             return Quarantined()
         last_start = request.ends_at(route) - MIN_ATTEMPT_SECONDS
--- a/src/worksramp_emulator/application.py
+++ b/src/worksramp_emulator/application.py
@@ -54,11 +54,13 @@
 
     Attributes:
         killing_targets: requests that end each worker that begins to run them.
+        num_resets: times that the connections of all workers broke.
     """
 
     killing_targets: set[bytes] = field(default_factory=set)
     runs: list[ServedRun] = field(default_factory=list)
     crashes: list[CrashSeen] = field(default_factory=list)
+    num_resets: int = 0
 
     def crash(self, worker: ApplicationWorker, target: bytes = b"") -> None:
         """End a worker; all that runs there breaks off."""
@@ -76,11 +78,14 @@
     worker_id = worker.entry.worker_id
     record.runs.append(ServedRun(anyio.current_time(), worker_id, node, request.target))
     is_killing = request.target in record.killing_targets
+    num_resets = record.num_resets
     worker.num_running += 1
     try:
         ends_at = anyio.current_time() + (CRASH_S if is_killing else SERVICE_S)
         while anyio.current_time() < ends_at and not worker.is_gone:
             await anyio.sleep(TICK_S)
+            if record.num_resets != num_resets:
+                raise WorkerAnswerBrokenError(worker_id)
         if is_killing:
             record.crash(worker, request.target)
         if worker.is_gone:
--- a/src/worksramp_emulator/simulation/live_checkers.py
+++ b/src/worksramp_emulator/simulation/live_checkers.py
@@ -6,6 +6,8 @@
 MAX_CRASHES = 3
 #: Sends that are borne after that, by nodes that had the time to know.
 MAX_LATE_RUNS = 3
+#: Outcome of a try that was refused for the crashes under its request.
+QUARANTINED = "Quarantined"
 
 
 def check_crash_bound(world: LiveWorld) -> list[str]:
@@ -28,3 +30,14 @@
                 f"{MAX_CRASHES}; {len(ended)} ended in all"
             )
     return found
+
+
+def check_innocents(world: LiveWorld) -> list[str]:
+    """No request that ends no worker is refused for the crashes of others."""
+    killing = world.fleet.application.killing_targets
+    innocent = [caller_try for caller_try in world.tries if caller_try.target not in killing]
+    refused = [caller_try for caller_try in innocent if caller_try.outcome == QUARANTINED]
+    if not refused:
+        return []
+    first = refused[0].target.decode()
+    return [f"{len(refused)} of {len(innocent)} tries of innocents were refused, first {first}"]
--- a/src/worksramp_emulator/simulation/live_world.py
+++ b/src/worksramp_emulator/simulation/live_world.py
@@ -13,7 +13,7 @@
 from worksramp.routing.workers import WorkerEntry
 from worksramp.wire import encode
 from worksramp_emulator.batch_fleet import FleetWorker
-from worksramp_emulator.simulation.batch_world import BatchWorld, BatchWorldSpec
+from worksramp_emulator.simulation.batch_world import BatchWorld, BatchWorldSpec, NodeSlot
 
 APPLICATION_SERVICE = "orders"
 APPLICATION_HOST = "orders.example"
@@ -135,7 +135,10 @@
         return False
 
     async def _try(self, target: bytes) -> bool:
-        slot = self.calls_drawn.choice([slot for slot in self.slots if slot.node is not None])
+        ready = [slot for slot in self.slots if slot.node is not None and slot.node.is_ready]
+        if not ready:
+            return False
+        slot = self.calls_drawn.choice(ready)
         node = slot.node
         assert node is not None and node.table.current is not None
         route = node.table.current.match(APPLICATION_HOST, target.decode())
@@ -157,17 +160,49 @@
             await self.call(target)
             await anyio.sleep(pause_s)
 
-    async def ordinary_traffic(self, calls_per_s: float, seconds: float, name: str = "call") -> None:
-        """Send requests that differ from each other, at random moments."""
+    async def ordinary_traffic(
+        self, calls_per_s: float, seconds: float, name: str = "call", is_popular: bool = False
+    ) -> None:
+        """Send requests at random moments, which differ from each other unless one of them is popular."""
         until = anyio.current_time() + seconds
         number = 0
         while anyio.current_time() < until:
             await anyio.sleep(self.calls_drawn.expovariate(calls_per_s))
-            number += 1
+            number += 0 if is_popular else 1
             self.group.start_soon(self.call, f"{APPLICATION_PREFIX}{name}-{number}".encode())
 
     # Troubles.
 
+    async def lose_workers(self, num_workers: int) -> None:
+        """End workers at the same moment, through no request's fault."""
+        for worker in self.application_workers()[:num_workers]:
+            self.fleet.application.crash(worker)
+
+    async def reset_connections(self) -> None:
+        """Break all connections to workers, which live on."""
+        self.fleet.application.num_resets += 1
+
+    async def lose_node(self, slot: NodeSlot, seconds: float) -> None:
+        """Kill a node and start another process there some time later."""
+        with self.disturbed(slot.name):
+            self.kill_node(slot)
+            await anyio.sleep(seconds)
+        self.start_node(slot)
+
+    async def lose_store(self, seconds: float) -> None:
+        """Have the store refuse all calls for a while."""
+        with self.disturbed(None):
+            self.store.faults.is_down = True
+            await anyio.sleep(seconds)
+            self.store.faults.is_down = False
+
+    async def cut_node(self, slot: NodeSlot, seconds: float) -> None:
+        """Have the store out of one node's reach for a while."""
+        with self.disturbed(slot.name):
+            self.store.faults.cut_nodes.add(slot.name)
+            await anyio.sleep(seconds)
+            self.store.faults.cut_nodes.discard(slot.name)
+
     @contextmanager
     def disturbed(self, node: str | None) -> Iterator[None]:
         """Note that a node, or the store for None, is disturbed meanwhile."""
