--- /dev/null
+++ b/tests/platform/test_crashed_workers.py
@@ -0,0 +1,79 @@
+"""What the adapter tells of workers that crashed, and what callers get whose request crashes them."""
+
+import json
+import socket
+
+import anyio
+import anyio.abc
+from worksramp_platform.documents import decode_worker
+from worksramp_platform.workers import PlatformWorkers
+
+from tests.platform.test_callers import HOST, Deployment, play
+from worksramp.routing.crash_ledger import CrashRecord
+from worksramp.routing.fingerprint import fingerprint_of
+from worksramp.routing.worker_port import ListenerState
+from worksramp.routing.workers import WorkerEntry
+
+TRY = {"X-Worksramp-Attempt-Id": "t1", "X-Worksramp-Deadline-Ms": "1000"}
+
+
+def worker_at(port: int) -> WorkerEntry:
+    return WorkerEntry("w", "desk", f"127.0.0.1:{port}", "z", 4)
+
+
+def unused_port() -> int:
+    with socket.socket() as found:
+        found.bind(("127.0.0.1", 0))
+        return int(found.getsockname()[1])
+
+
+def test_a_worker_that_listens_accepts_and_one_that_has_ended_refuses() -> None:
+    async def main() -> None:
+        workers = PlatformWorkers()
+        async with await anyio.create_tcp_listener(local_host="127.0.0.1") as listener:
+            port = listener.extra(anyio.abc.SocketAttribute.local_port)
+            assert await workers.listener_state(worker_at(port)) is ListenerState.ACCEPTS
+        assert await workers.listener_state(worker_at(unused_port())) is ListenerState.REFUSES
+
+    anyio.run(main)
+
+
+def test_a_worker_that_does_not_answer_is_silent() -> None:
+    async def main() -> None:
+        with socket.socket() as full:
+            full.bind(("127.0.0.1", 0))
+            # Nobody accepts, and the queue has room for one: the kernel answers none of the further ones.
+            full.listen(0)
+            port = int(full.getsockname()[1])
+            waiting = [socket.socket() for _ in range(4)]
+            for connection in waiting:
+                connection.setblocking(False)
+                connection.connect_ex(("127.0.0.1", port))
+            assert await PlatformWorkers().listener_state(worker_at(port)) is ListenerState.SILENT
+            for connection in waiting:
+                connection.close()
+
+    anyio.run(main)
+
+
+def test_the_start_of_a_worker_is_told_by_its_entry() -> None:
+    beat = {"service": "desk", "address": "10.128.0.9:8080", "slots": 6, "born": 1765000000123}
+    assert decode_worker("i-1", json.dumps(beat).encode()).started_ms == 1765000000123
+    assert decode_worker("i-1", json.dumps({"service": "desk", "address": "a:1"}).encode()).started_ms == 0
+
+
+def test_a_request_that_crashes_workers_is_refused_with_no_time_to_come_back() -> None:
+    async def work(found: Deployment) -> None:
+        found.add_scorer()
+        await anyio.sleep(0.5)
+        fingerprint = fingerprint_of("GET", HOST.encode(), b"/checks/x", b"")
+        for number in range(3):
+            record = CrashRecord(fingerprint, f"crash-{number}", "node", is_again=True)
+            found.node.quarantine.ledger.add(record, anyio.current_time())
+        answer = await found.client().get("/checks/x", headers=TRY)
+        assert (answer.status_code, answer.json()["error"]) == (503, "crashes_workers")
+        assert "retry-after" not in answer.headers
+        assert b'worksramp_crash_events_total{event="refused"} 1.0' in found.node.metrics.text()
+        assert (await found.client().get("/checks/y", headers=TRY)).status_code == 200
+
+    play(work)
