--- a/src/worksramp/coordination/fenced_writer.py
+++ b/src/worksramp/coordination/fenced_writer.py
@@ -6,6 +6,7 @@
 import anyio
 import structlog
 
+from worksramp.coordination.elapsed import ElapsedClock, steady_s
 from worksramp.coordination.log_lease import OWNER_KEY, OWNER_PRODUCER, OwnerRecord
 from worksramp.coordination.shared_log import (
     Appended,
@@ -40,10 +41,16 @@
 
     Args:
         claimed: the owner's record as it was claimed, with sequence 0.
+        clock: that the age of the lease is told by.
     """
 
     def __init__(
-        self, log: SharedLog, partition: Partition, claimed: OwnerRecord, renewal_seconds: float
+        self,
+        log: SharedLog,
+        partition: Partition,
+        claimed: OwnerRecord,
+        renewal_seconds: float,
+        clock: ElapsedClock = steady_s,
     ) -> None:
         self._log = log
         self._partition = partition
@@ -60,7 +67,12 @@
         self._announced_orders = claimed.num_orders
         self._appended = anyio.Event()
         self._renewal_written_at = float("-inf")
-        self.renewed_at = anyio.current_time()
+        self._clock = clock
+        self._renewed_at = clock()
+
+    def renewal_age_s(self) -> float:
+        """Return how long ago an append that the store took was begun, a suspension included."""
+        return self._clock() - self._renewed_at
 
     @property
     def owner(self) -> OwnerRecord:
@@ -166,13 +178,13 @@
         pause = RETRY_PAUSE_SECONDS
         try_seconds = FIRST_TRY_SECONDS
         while True:
-            started = anyio.current_time()
+            started = self._clock()
             outcome: AppendOutcome = OutcomeOpen(f"no answer within {try_seconds} s")
             with anyio.move_on_after(try_seconds):
                 outcome = await self._log.append(self._partition, batch, fence=fence)
             try_seconds *= 2
             if isinstance(outcome, Appended):
-                self.renewed_at = started
+                self._renewed_at = started
                 return outcome.end
             if isinstance(outcome, (NothingDone, OutcomeOpen)):
                 logger.info(
--- a/src/worksramp/coordination/keyed_replica.py
+++ b/src/worksramp/coordination/keyed_replica.py
@@ -12,6 +12,7 @@
 import anyio
 import structlog
 
+from worksramp.coordination.elapsed import ElapsedClock, steady_s
 from worksramp.coordination.shared_log import (
     LogUnavailableError,
     Partition,
@@ -50,6 +51,7 @@
         poll_seconds: longest wait of one poll.
         gather_seconds: pause after an answer with records, so that many small changes take few calls.
         on_change: called for each change, in order of offsets within one partition.
+        clock: that the age of the copy is told by.
     """
 
     def __init__(
@@ -59,18 +61,20 @@
         poll_seconds: float,
         on_change: ChangeHandler,
         gather_seconds: float = 0.0,
+        clock: ElapsedClock = steady_s,
     ) -> None:
         self._log = log
         self._partition = partition
         self._poll_seconds = poll_seconds
         self._on_change = on_change
+        self._clock = clock
         self._offsets: dict[str, int] = {}
         self._changed = anyio.Event()
         self._hurry = anyio.Event()
         self._is_reachable = True
         self.gather_seconds = gather_seconds
         self.position: int | None = None
-        self.confirmed_at = float("-inf")
+        self._confirmed_at = float("-inf")
         #: When the store last answered again after it had not.
         self.regained_at = float("-inf")
         self._is_gathering = False
@@ -82,7 +86,7 @@
 
     def confirmed_age(self) -> float:
         """Return seconds since the start of the last poll that found nothing missing."""
-        return anyio.current_time() - self.confirmed_at
+        return self._clock() - self._confirmed_at
 
     def regained_age(self) -> float:
         """Return seconds since the store answered again after an outage, as this node saw it."""
@@ -160,7 +164,7 @@
         if self.position is None:
             await self._load()
             return True
-        started = anyio.current_time()
+        started = self._clock()
         answer = await self._log.read(self._partition, self.position, self._poll_seconds)
         if isinstance(answer, RecordsGone):
             logger.info(
@@ -175,13 +179,13 @@
         if answer.records:
             self.position = max(self.position, answer.records[-1].offset + 1)
         if answer.end <= self.position:
-            self.confirmed_at = started
+            self._confirmed_at = started
         self._wake()
         return bool(answer.records)
 
     async def _load(self) -> None:
         """Read the newest records of all keys, then go on from where the first page was made."""
-        started = anyio.current_time()
+        started = self._clock()
         page = await self._log.newest(self._partition, None)
         first_end = page.end
         if self.position is not None and first_end < self.position:
@@ -196,7 +200,7 @@
             self._apply(record)
         self._drop_missing({record.key for record in records}, first_end)
         self.position = first_end
-        self.confirmed_at = started
+        self._confirmed_at = started
         self._wake()
 
     def _drop_missing(self, seen: set[str], end: int) -> None:
--- a/src/worksramp/edge/node.py
+++ b/src/worksramp/edge/node.py
@@ -10,6 +10,7 @@
 import anyio
 import structlog
 
+from worksramp.coordination.elapsed import ElapsedClock, steady_s
 from worksramp.coordination.keyed_replica import Change, KeyedReplica
 from worksramp.coordination.log_lease import LeaseTimes
 from worksramp.coordination.shared_log import SharedLog
@@ -87,6 +88,7 @@
     port: WorkerPort
     records: PlatformRecords
     time_of_day: Callable[[], float] = time.time
+    clock: ElapsedClock = steady_s
     table: TableSource = field(default_factory=TableSource)
     metrics: NodeMetrics = field(default_factory=NodeMetrics)
     directory: WorkerDirectory = field(default_factory=WorkerDirectory)
@@ -119,10 +121,15 @@
             self.directory, self.port, random.Random(), self._note_request, settings.node_id, self.quarantine
         )
         self._control = KeyedReplica(
-            self.log, self.records.control, poll, self._take_control, 0.025 * bounds.configuration_apply
+            self.log,
+            self.records.control,
+            poll,
+            self._take_control,
+            0.025 * bounds.configuration_apply,
+            self.clock,
         )
         self._workers = KeyedReplica(
-            self.log, self.records.workers, poll, self._take_worker, 0.075 * bounds.drain
+            self.log, self.records.workers, poll, self._take_worker, 0.075 * bounds.drain, self.clock
         )
         values = BatchValues(ValueStore(self.log, self.records.values))
         self.shard = BatchShard(
@@ -147,6 +154,7 @@
                 num_cores=settings.machine.num_cores,
                 may_own=lambda: self.is_ready,
                 time_of_day=self.time_of_day,
+                clock=self.clock,
                 quarantine=self.quarantine,
             )
         )
--- a/src/worksramp/edge/shard.py
+++ b/src/worksramp/edge/shard.py
@@ -10,6 +10,7 @@
 import msgspec
 import structlog
 
+from worksramp.coordination.elapsed import ElapsedClock, steady_s
 from worksramp.coordination.fenced_writer import FencedWriter, OwnershipLostError
 from worksramp.coordination.keyed_replica import Change, KeyedReplica, NotCurrentError
 from worksramp.coordination.log_lease import (
@@ -63,6 +64,7 @@
         gather_seconds: pause between two reads of a node that does not own the shard.
         values: items and texts of batches.
         progress: texts so far of items.
+        clock: that the ages of lease and copy are told by.
         quarantine: takes the records of crashes, which stand in the same partition.
     """
 
@@ -87,6 +89,7 @@
     quarantine: Quarantine
     metrics: NodeMetrics
     time_of_day: Callable[[], float] = time.time
+    clock: ElapsedClock = steady_s
 
 
 @dataclass(slots=True)
@@ -112,6 +115,7 @@
             context.poll_seconds,
             self._take_change,
             self.context.gather_seconds,
+            context.clock,
         )
         self._jitter = random.uniform(*claim_delay_range(self.context.num_cores))
 
@@ -140,6 +144,15 @@
         """Items whose texts are whole and wait for their scores, as far as this node owns them."""
         return len(self._owner.items.unscored()) if self._owner is not None else 0
 
+    def may_order(self) -> bool:
+        """Return whether this node, as the owner, may order workers now."""
+        if self._writer is None or self._is_stopping:
+            return False
+        now = anyio.current_time()
+        # The age of the renewal counts a suspension, in which another node may have become the owner.
+        renewed_at = now - self._writer.renewal_age_s()
+        return may_order(now, self.former_order_at, renewed_at, self.context.times)
+
     def wake(self) -> None:
         """Tell the owner's work that the directory or the configuration has changed."""
         if self._owner is not None:
@@ -258,7 +271,7 @@
 
     async def _own(self, record: OwnerRecord) -> None:
         context = self.context
-        writer = FencedWriter(context.log, context.partition, record, context.times.renewal)
+        writer = FencedWriter(context.log, context.partition, record, context.times.renewal, context.clock)
         owner = BatchOwner(
             OwnerContext(
                 self.ledger,
@@ -310,13 +323,6 @@
 
     def _mover_context(self, owner: BatchOwner, writer: FencedWriter, epoch: int) -> MoverContext:
         context = self.context
-
-        def is_order_allowed() -> bool:
-            now = anyio.current_time()
-            return not self._is_stopping and may_order(
-                now, self.former_order_at, writer.renewed_at, context.times
-            )
-
         return MoverContext(
             directory=context.directory,
             port=context.port,
@@ -324,7 +330,7 @@
             wake=owner.wake,
             named_versions=context.named_versions,
             table=lambda: context.table.current,
-            may_order=is_order_allowed,
+            may_order=self.may_order,
             announce_order=writer.announce_order,
             holder=context.node,
             fence=epoch,
--- a/src/worksramp_emulator/simulation/batch_world.py
+++ b/src/worksramp_emulator/simulation/batch_world.py
@@ -84,9 +84,14 @@
 
 @dataclass(slots=True)
 class NodeSlot:
-    """A machine, and the process that runs there now."""
+    """A machine, and the process that runs there now.
+
+    Attributes:
+        suspended_s: time that the machine was suspended, which its steady clock did not count.
+    """
 
     name: str
+    suspended_s: float = 0.0
     node: EdgeNode | None = None
     scope: anyio.CancelScope | None = None
 
@@ -229,6 +234,7 @@
             FleetPort(self.fleet, slot.name, MODEL),
             self.records,
             time_of_day=anyio.current_time,
+            clock=lambda: anyio.current_time() + slot.suspended_s,
         )
         slot.scope = anyio.CancelScope()
         self.group.start_soon(self._run_node, slot.node, slot.scope)
