--- a/src/worksramp/routing/crash_ledger.py
+++ b/src/worksramp/routing/crash_ledger.py
@@ -56,6 +56,12 @@
         return KeyedRecord(self.key, b"")
 
 
+def fingerprint_in(key: str) -> str | None:
+    """Return the request that a key of the log is about, None for a key of another kind."""
+    kind, _, rest = key.partition("/")
+    return rest.partition("/")[0] if kind == KEY_KIND else None
+
+
 @dataclass(slots=True)
 class _History:
     """Crashes under one request: records by key, in order of arrival."""
@@ -89,16 +95,15 @@
         """Requests that are held to blame."""
         return sum(1 for fingerprint in self._histories if self.is_to_blame(fingerprint))
 
-    def apply(self, change: Change, now: float) -> bool:
-        """Take in a change of the log; return whether it is one of this ledger's."""
-        kind, _, rest = change.key.partition("/")
-        if kind != KEY_KIND:
-            return False
+    def apply(self, change: Change, now: float) -> None:
+        """Take in a change of the log; those of other kinds of keys are passed over."""
+        fingerprint = fingerprint_in(change.key)
+        if fingerprint is None:
+            return
         if change.value is not None:
             self.add(decode(change.value, CrashRecord), now)
         else:
-            self._remove(rest.partition("/")[0], change.key)
-        return True
+            self._remove(fingerprint, change.key)
 
     def add(self, record: CrashRecord, now: float) -> None:
         """Take in a record; one that is known already changes nothing."""
--- a/src/worksramp/routing/forward.py
+++ b/src/worksramp/routing/forward.py
@@ -137,8 +137,8 @@
             if course.may_have_run and not route.may_repeat:
                 break
             if self._quarantine.is_to_blame(request.fingerprint):
-                course.last_reason = Quarantined().reason
-                break
+                refusal = Quarantined()
+                return MayHaveRun(refusal.reason, is_late=False) if course.may_have_run else refusal
         return self._give_up(course, route, is_late=anyio.current_time() >= last_start)
 
     def _give_up(self, course: Course, route: Route, is_late: bool) -> ForwardOutcome:
@@ -153,9 +153,9 @@
     ) -> WholeAnswer | None:
         """Send to a worker, and to a second one when the first is late and the request may be repeated."""
         ends_at = request.ends_at(route)
-        # A second worker at the same time would crash as well, before anything is known.
-        is_alone = self._quarantine.running(request.fingerprint).is_suspect
-        if is_alone or not _may_back_up(route) or not course.has_attempt_left(route):
+        # Under a suspect a second worker might crash too, before the end of the first is known.
+        is_suspect = self._quarantine.is_suspect(request.fingerprint)
+        if is_suspect or not _may_back_up(route) or not course.has_attempt_left(route):
             return await self._attempt(request, worker, ends_at, course)
 
         async def attempt() -> WholeAnswer | None:
--- a/src/worksramp/routing/quarantine.py
+++ b/src/worksramp/routing/quarantine.py
@@ -20,11 +20,11 @@
 from worksramp.coordination.shared_log import KeyedRecord, Partition, SharedLog
 from worksramp.coordination.value_store import NotStored, append_until_known
 from worksramp.routing.crash_ledger import (
-    KEY_KIND,
     MAX_CRASHES_ALONE,
     MAX_CRASHES_IN_ALL,
     CrashLedger,
     CrashRecord,
+    fingerprint_in,
 )
 from worksramp.routing.fingerprint import crash_id_of
 from worksramp.routing.worker_port import ListenerState, WorkerPort
@@ -125,6 +125,10 @@
         """Return whether a request must go to no further worker."""
         return self.ledger.is_to_blame(fingerprint)
 
+    def is_suspect(self, fingerprint: str) -> bool:
+        """Return whether a worker is known to have crashed while it ran a request."""
+        return self.ledger.is_suspect(fingerprint)
+
     def pause_s(self, fingerprint: str) -> float:
         """Return how long a request that may not be given up pauses between two workers."""
         if not self.ledger.is_to_blame(fingerprint):
@@ -134,7 +138,7 @@
 
     def running(self, fingerprint: str) -> RunningRequest:
         """Return a request as it is now put to a worker."""
-        return RunningRequest(fingerprint, is_suspect=self.ledger.is_suspect(fingerprint))
+        return RunningRequest(fingerprint, is_suspect=self.is_suspect(fingerprint))
 
     def _is_trial_due(self, fingerprint: str) -> bool:
         """Return whether a request to blame may show that it is innocent.
@@ -166,11 +170,13 @@
             return
         seen = _Break(crash_id, tuple(sorted(worker.running)), anyio.current_time())
         self._asking[crash_id] = anyio.Event()
-        # An attempt whose answer is no longer wanted has seen the break all the same.
-        with anyio.CancelScope(shield=True):
-            listener = await self._port.listener_state(entry)
-        self._take_state(worker, seen, listener)
-        self._asking.pop(crash_id).set()
+        try:
+            # An attempt whose answer is no longer wanted has seen the break all the same.
+            with anyio.CancelScope(shield=True):
+                listener = await self._port.listener_state(entry)
+            self._take_state(worker, seen, listener)
+        finally:
+            self._asking.pop(crash_id).set()
 
     def _take_state(self, worker: WorkerState, seen: _Break, listener: ListenerState) -> None:
         logger.info(
@@ -190,10 +196,11 @@
 
     def take_change(self, change: Change) -> bool:
         """Take in a change of the log; return whether it was about crashes."""
-        fingerprint = change.key.split("/")[1] if change.key.startswith(f"{KEY_KIND}/") else ""
-        was_to_blame = self.ledger.is_to_blame(fingerprint)
-        if not self.ledger.apply(change, anyio.current_time()):
+        fingerprint = fingerprint_in(change.key)
+        if fingerprint is None:
             return False
+        was_to_blame = self.ledger.is_to_blame(fingerprint)
+        self.ledger.apply(change, anyio.current_time())
         if self.ledger.is_to_blame(fingerprint) != was_to_blame:
             logger.warning(
                 "request_released" if was_to_blame else "request_blamed",
