--- a/src/worksramp_emulator/simulation/live_world.py
+++ b/src/worksramp_emulator/simulation/live_world.py
@@ -13,6 +13,7 @@
 from worksramp.routing.workers import WorkerEntry
 from worksramp.wire import encode
 from worksramp_emulator.batch_fleet import FleetWorker
+from worksramp_emulator.simulation.batch_troubles import cut_node, with_faults
 from worksramp_emulator.simulation.batch_world import BatchWorld, BatchWorldSpec, NodeSlot
 
 APPLICATION_SERVICE = "orders"
@@ -192,16 +193,12 @@
     async def lose_store(self, seconds: float) -> None:
         """Have the store refuse all calls for a while."""
         with self.disturbed(None):
-            self.store.faults.is_down = True
-            await anyio.sleep(seconds)
-            self.store.faults.is_down = False
+            await with_faults(self, seconds, is_down=True)
 
     async def cut_node(self, slot: NodeSlot, seconds: float) -> None:
         """Have the store out of one node's reach for a while."""
         with self.disturbed(slot.name):
-            self.store.faults.cut_nodes.add(slot.name)
-            await anyio.sleep(seconds)
-            self.store.faults.cut_nodes.discard(slot.name)
+            await cut_node(self, slot, seconds)
 
     @contextmanager
     def disturbed(self, node: str | None) -> Iterator[None]:
