A worker is its id and its start; an entry that cannot be read names no worker and ends no node

Cause, each shown by a test that failed first (tests/platform/test_entries.py, tests/unit/test_worker_starts.py): - An entry nested without end raised RecursionError past the adapter, which ended the follower of workers, and with it the process, at every node and again after each restart; so did a record without a key or with a key that is no text, and an event whose version is written in superscripts (int refuses what str.isdigit takes). - What was learnt of a worker hung on its id alone. Back under its id it kept the versions of before (the larger of both), its load and latency, stayed left for good once it had left, and its connections were taken from the pool. - An entry with an unknown state was taken for a leaving worker, for good; one without fields for a worker with one slot. One that could not be read left the former worker in use.

Now: the adapter decodes entries into checked types (bounds by msgspec.Meta) and tells four faults apart; the directory keeps the newest start of each id, bounded; the owner forgets pace and failures of a former start and closes its runs at once; connections are pooled by start; one log line an entry and change, and a counter by fault. edge/node.py loses the entries to edge/worker_entries.py.

Ruled out: taking an earlier start for a new one; it would let another writer's old entry clear what is known. Also: deploy/variants.py lays a copy of the large site with a sixth of the machines.

--- a/deploy/variants.py
+++ b/deploy/variants.py
@@ -42,6 +42,17 @@
     )
 
 
+def sixth_of_machines(text: str) -> str:
+    """A sixth of the machines before the same workers and load: what size alone costs."""
+
+    def fewer(match: re.Match[str]) -> str:
+        count, spare = int(match[2]), int(match[3])
+        return f"{match[1]}count = {max(1, round(count / 6))}, spare = {max(1, round(spare / 6))}"
+
+    machine = r"^(  \{ class = \"front\", .*?)count = (\d+), spare = (\d+)"
+    return re.sub(machine, fewer, text, flags=re.M)
+
+
 def small_slots(text: str) -> str:
     """Workers run fewer requests at once."""
     return re.sub(r"slots = 1[26], queue = \d+", "slots = 6, queue = 12", text).replace(
@@ -71,6 +82,7 @@
         unsafe_requests,
         more_machines,
         few_machines,
+        sixth_of_machines,
         small_slots,
         one_partition,
         slow_store,
--- a/src/worksramp/edge/node.py
+++ b/src/worksramp/edge/node.py
@@ -22,11 +22,10 @@
     TableAccepted,
     Unreadable,
     VersionNamed,
-    WorkerGone,
-    WorkerSeen,
 )
 from worksramp.edge.settings import EdgeBounds, EdgeSettings
 from worksramp.edge.shard import BatchShard, ShardContext
+from worksramp.edge.worker_entries import WorkerEntries
 from worksramp.mechanisms import mechanism
 from worksramp.rollout.batch_service import BatchService, ServiceTimes
 from worksramp.rollout.batch_values import BatchValues
@@ -39,11 +38,6 @@
 
 BOOT_CHARACTERS = 8
 STOP_TICK_SECONDS = 0.05
-DROP_TICK_SECONDS = 0.1
-#: Entries that go this soon after an outage of the store went because of it.
-AFTER_OUTAGE_SECONDS = 1.0
-#: Entries that lapsed with the store are back this soon after its return; others are gone. Source: the users.
-LAPSED_ENTRY_S = 2.0
 USABLE = "usable"
 WORKER_STATES = (USABLE, "leaving")
 
@@ -101,6 +95,7 @@
     batches: BatchService = field(init=False)
     _control: KeyedReplica = field(init=False)
     _workers: KeyedReplica = field(init=False)
+    _entries: WorkerEntries = field(init=False)
 
     def __post_init__(self) -> None:
         settings, bounds = self.settings, self.settings.bounds
@@ -131,6 +126,13 @@
         self._workers = KeyedReplica(
             self.log, self.records.workers, poll, self._take_worker, 0.075 * bounds.drain, self.clock
         )
+        self._entries = WorkerEntries(
+            self.directory,
+            self.quarantine,
+            self._workers.regained_age,
+            on_refused=lambda fault: self.metrics.entries_refused.labels(fault.value).inc(),
+            on_change=lambda: self.shard.wake(),
+        )
         values = BatchValues(ValueStore(self.log, self.records.values))
         self.shard = BatchShard(
             ShardContext(
@@ -239,7 +241,7 @@
         async with anyio.create_task_group() as group:
             group.start_soon(self._control.follow)
             group.start_soon(self._workers.follow)
-            group.start_soon(self._drop_missing_workers)
+            group.start_soon(self._entries.drop_missing)
             group.start_soon(self.shard.run)
             group.start_soon(self.quarantine.run)
 
@@ -284,47 +286,7 @@
         self.table.current = table
         logger.info("configuration_in_force", version=table.version, num_routes=len(table.routes))
 
-    def _take_worker_gone(self, worker_id: str) -> None:
-        """Drop a worker, or keep it for a while when its entry went with the store.
-
-        Entries run out while the store is away, since nobody can write them; sound workers write them again
-        within about two seconds, and those of others are gone for good.
-        """
-        was_outage = self._workers.regained_age() < AFTER_OUTAGE_SECONDS
-        logger.info("worker_gone", worker=worker_id, is_kept=was_outage)
-        if was_outage:
-            self.directory.mark_missing(worker_id, anyio.current_time())
-        else:
-            self.directory.remove(worker_id)
-            self.quarantine.note_gone(worker_id)
-
-    async def _drop_missing_workers(self) -> None:
-        while True:
-            await anyio.sleep(DROP_TICK_SECONDS)
-            if self._workers.regained_age() < LAPSED_ENTRY_S:
-                continue
-            for worker_id in self.directory.missing_since(anyio.current_time()):
-                logger.info("worker_dropped", worker=worker_id)
-                self.directory.remove(worker_id)
-                self.shard.wake()
-
     def _take_worker(self, change: Change) -> None:
         event = self.records.worker_event(change)
-        if isinstance(event, WorkerSeen):
-            known = self.directory.get(event.entry.worker_id)
-            if known is None or known.entry.is_leaving != event.entry.is_leaving:
-                logger.info(
-                    "worker_seen",
-                    worker=event.entry.worker_id,
-                    service=event.entry.service,
-                    address=event.entry.address,
-                    is_leaving=event.entry.is_leaving,
-                )
-            if known is not None and known.entry.started_ms != event.entry.started_ms:
-                self.quarantine.note_gone(event.entry.worker_id)
-            self.directory.put(event.entry)
-        elif isinstance(event, WorkerGone):
-            self._take_worker_gone(event.worker_id)
-        elif isinstance(event, Unreadable):
-            logger.error("record_unreadable", key=event.key, reason=event.reason)
-        self.shard.wake()
+        if event is not None:
+            self._entries.take(event)
--- a/src/worksramp/edge/ports.py
+++ b/src/worksramp/edge/ports.py
@@ -1,6 +1,7 @@
 """What an edge node asks of the platform it runs on, beside the log and the workers."""
 
 from dataclasses import dataclass
+from enum import StrEnum
 from typing import Protocol
 
 from worksramp.coordination.keyed_replica import Change
@@ -38,12 +39,32 @@
     worker_id: str
 
 
+class RecordFault(StrEnum):
+    """Why a record cannot be used.
+
+    Attributes:
+        MALFORMED: the bytes are not of the form that records have.
+        BAD_VALUE: a field is missing, of another type, or beyond what it can be.
+        UNKNOWN_STATE: it names a state that is not known.
+        FORMER_START: it tells of a start of the worker before one that is known.
+    """
+
+    MALFORMED = "malformed"
+    BAD_VALUE = "bad_value"
+    UNKNOWN_STATE = "unknown_state"
+    FORMER_START = "former_start"
+
+
 @dataclass(frozen=True, slots=True)
 class Unreadable:
-    """A record that cannot be used; what was known before stays in force."""
+    """A record that cannot be used.
+
+    A configuration known before stays in force; a worker's entry then names no worker.
+    """
 
     key: str
     reason: str
+    fault: RecordFault = RecordFault.MALFORMED
 
 
 ControlEvent = TableAccepted | VersionNamed | Unreadable
--- a/src/worksramp/rollout/batch_owner.py
+++ b/src/worksramp/rollout/batch_owner.py
@@ -24,6 +24,7 @@
 from worksramp.rollout.text_keeper import TextKeeper
 from worksramp.routing.failure_tracker import FailureTracker
 from worksramp.routing.table import Route
+from worksramp.routing.worker_starts import WorkerStarts
 
 TICK_SECONDS = 0.05
 
@@ -48,6 +49,7 @@
         )
         self._scorer = ItemScorer(context, self.items, self._failures, self._lister, self.wake)
         self._carried = CarriedItems(context, self.items)
+        self._starts = WorkerStarts(context.directory)
         self._seen_batches: set[str] = set()
         self._wanted = anyio.Event()
         self._group: anyio.abc.TaskGroup | None = None
@@ -64,6 +66,7 @@
             while not self._is_stopping:
                 self._take_batches()
                 self._carried.drop_old()
+                self._forget_former_starts()
                 self._watch.look()
                 self._runner.look(group)
                 self._scorer.look(group)
@@ -95,6 +98,12 @@
         """Listed items whose texts are not known to be in the store."""
         return self._results.num_waiting
 
+    def _forget_former_starts(self) -> None:
+        for worker_id in self._starts.restarted():
+            self._pace.forget(worker_id)
+            self._failures.forget(worker_id)
+            self._watch.close_runs_at(worker_id)
+
     # Batches.
 
     def _take_batches(self) -> None:
--- a/src/worksramp/rollout/batch_run.py
+++ b/src/worksramp/rollout/batch_run.py
@@ -5,6 +5,7 @@
 
 import anyio
 
+from worksramp.counts import parse_count
 from worksramp.rollout.batches import BatchItem, GeneratedText, Score
 from worksramp.routing.events import EventSplitter, StreamEvent
 from worksramp.routing.fingerprint import fingerprint_of
@@ -220,9 +221,8 @@
     splitter = EventSplitter()
     async for chunk in answer.body:
         for event in splitter.feed(chunk):
-            told = event.fields.get(port.version_field)
-            if told is not None and told.strip().isdigit():
-                version = int(told)
+            told = parse_count(event.fields.get(port.version_field, ""))
+            version = version if told is None else told
             if not may_add(text, version, spec):
                 return RunWrongVersion(version)
             text.add(event, version)
--- a/src/worksramp/rollout/pace.py
+++ b/src/worksramp/rollout/pace.py
@@ -32,6 +32,10 @@
         pace.num_samples += 1
         pace.sampled_at = now
 
+    def forget(self, worker_id: str) -> None:
+        """Take in that the worker has started again."""
+        self._paces.pop(worker_id, None)
+
     def seconds_per_event(self, worker_id: str, now: float) -> float | None:
         """Return a worker's pace, None when it is not known or too old."""
         pace = self._paces.get(worker_id)
--- a/src/worksramp/rollout/run_watch.py
+++ b/src/worksramp/rollout/run_watch.py
@@ -56,6 +56,14 @@
                 num_moves += 1
                 self._move(work, run, "faster_elsewhere", now)
 
+    def close_runs_at(self, worker_id: str) -> None:
+        """Take the runs at a worker that has started again for cut off."""
+        now = anyio.current_time()
+        for work in list(self._items.works.values()):
+            if work.run is not None and work.run.worker_id == worker_id and not work.run.is_moving:
+                self._move(work, work.run, "worker_restarted", now)
+                work.avoided.pop(worker_id, None)
+
     @mechanism("stuck_runs", without=lambda watch, run, typical, now: False)
     def _is_stuck(self, run: Run, typical: float | None, now: float) -> bool:
         """Take a run that has been silent for long for stuck, and go on with its item elsewhere."""
--- a/src/worksramp/routing/failure_tracker.py
+++ b/src/worksramp/routing/failure_tracker.py
@@ -42,6 +42,10 @@
         else:
             record.successes += 1.0
 
+    def forget(self, worker_id: str) -> None:
+        """Take in that the worker has started again."""
+        self._records.pop(worker_id, None)
+
     def suspects(self, now: float) -> frozenset[str]:
         """Return the workers that fail a large share, to be used after all others."""
         for record in self._records.values():
--- a/src/worksramp/routing/workers.py
+++ b/src/worksramp/routing/workers.py
@@ -1,9 +1,13 @@
 """Directory of workers as their entries tell it, with what this node has learned itself."""
 
+import itertools
 from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+#: Workers that went and are still known by their newest start.
+MAX_REMEMBERED_STARTS = 1024
+
 
 @dataclass(frozen=True, slots=True)
 class WorkerEntry:
@@ -104,22 +108,49 @@
         return max(self.num_in_flight, told) / max(1, self.entry.num_slots)
 
 
+@dataclass(slots=True)
+class _KnownStart:
+    started_ms: int
+    has_left: bool = False
+
+
 class WorkerDirectory:
-    """All workers that can be used, by id."""
+    """All workers that can be used, by id.
+
+    A worker may start again under its id. Such a start is another worker: it holds nothing of the former one,
+    and nothing that was learnt of that one counts.
+    """
 
     def __init__(self) -> None:
         self._states: dict[str, WorkerState] = {}
-        self._left: set[str] = set()
+        self._starts: dict[str, _KnownStart] = {}
         self._missing_since: dict[str, float] = {}
         self.revision = 0
 
+    @property
+    def num_remembered(self) -> int:
+        """Ids whose newest start is known, those of workers that went included."""
+        return len(self._starts)
+
+    def is_known(self, worker_id: str) -> bool:
+        """Return whether a start of the worker is remembered."""
+        return worker_id in self._starts
+
+    def is_former_start(self, entry: WorkerEntry) -> bool:
+        """Return whether an entry tells of a start before one that is known."""
+        known = self._starts.get(entry.worker_id)
+        return known is not None and entry.started_ms < known.started_ms
+
     def put(self, entry: WorkerEntry) -> None:
-        """Take in a worker's entry. Leaving is for good."""
+        """Take in a worker's entry. Leaving is for good, for that start."""
         self.revision += 1
         self._missing_since.pop(entry.worker_id, None)
-        if entry.is_leaving:
-            self._left.add(entry.worker_id)
+        known = self._note_start(entry)
+        known.has_left |= entry.is_leaving
         state = self._states.get(entry.worker_id)
+        if state is not None and state.entry.started_ms != entry.started_ms:
+            state.is_gone = True
+            state = None
         if state is None:
             self._states[entry.worker_id] = WorkerState(entry, versions=dict(entry.model_versions))
             return
@@ -146,7 +177,9 @@
 
     def mark_leaving(self, worker_id: str) -> None:
         """Take in that a worker was found to be leaving, or to be another one, by its own answer."""
-        self._left.add(worker_id)
+        known = self._starts.get(worker_id)
+        if known is not None:
+            known.has_left = True
         self.revision += 1
 
     def get(self, worker_id: str) -> WorkerState | None:
@@ -155,16 +188,33 @@
 
     def is_usable(self, worker_id: str) -> bool:
         """Return whether new work may go there."""
-        return worker_id in self._states and worker_id not in self._left
+        return worker_id in self._states and not self._starts[worker_id].has_left
 
     def usable(self, service: str) -> list[WorkerState]:
         """Return the workers of a service that take new work, in a fixed order."""
         return [
             state
             for worker_id, state in sorted(self._states.items())
-            if state.entry.service == service and worker_id not in self._left
+            if state.entry.service == service and not self._starts[worker_id].has_left
         ]
 
     def all_states(self) -> Iterable[WorkerState]:
         """Return all workers that have an entry."""
         return list(self._states.values())
+
+    def _note_start(self, entry: WorkerEntry) -> _KnownStart:
+        known = self._starts.get(entry.worker_id)
+        if known is None or known.started_ms != entry.started_ms:
+            known = _KnownStart(entry.started_ms)
+            self._starts[entry.worker_id] = known
+            self._forget_oldest()
+        return known
+
+    def _forget_oldest(self) -> None:
+        """Bound what is remembered of workers that went."""
+        num_over = len(self._starts) - len(self._states) - MAX_REMEMBERED_STARTS
+        if num_over <= 0:
+            return
+        gone = (worker_id for worker_id in self._starts if worker_id not in self._states)
+        for worker_id in list(itertools.islice(gone, num_over)):
+            del self._starts[worker_id]
--- a/src/worksramp_emulator/simulation/batch_world.py
+++ b/src/worksramp_emulator/simulation/batch_world.py
@@ -207,6 +207,15 @@
         entry = replace(self.fleet.workers[worker_id].entry, is_leaving=True)
         self.put(self.records.workers, worker_id, encode(entry))
 
+    def restart_worker(self, worker_id: str) -> None:
+        """Have a worker lose power and start again under its id; its former connections fall silent."""
+        former = self.fleet.workers[worker_id]
+        former.is_dark = True
+        started_ms = former.entry.started_ms + 1 + int(1000 * anyio.current_time())
+        entry = replace(former.entry, started_ms=started_ms, model_versions=dict(former.versions))
+        self.fleet.add(FleetWorker(entry, versions=dict(former.versions)))
+        self.put(self.records.workers, worker_id, encode(entry))
+
     def remove_worker(self, worker_id: str) -> None:
         """Crash a worker and drop its entry."""
         self.fleet.workers[worker_id].is_gone = True
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -63,14 +63,15 @@
         self.store.do_append(RECORDS.control, (record,), None, None)
 
     def add_worker(self) -> None:
-        beat = {"service": "fleet", "address": "w:1", "slots": 8, "state": "ready",
-                "models": [{"name": "m", "version": 1}]}  # fmt: skip
+        beat = {"service": "fleet", "address": "10.128.0.9:8080", "slots": 8, "state": "ready",
+                "models": [{"name": "m", "version": 1}], "born": 1765000000123}  # fmt: skip
         self.store.do_append(RECORDS.workers, (KeyedRecord("w-1", json.dumps(beat).encode()),), None, None)
         event = RECORDS.worker_event(_change("w-1", beat))
         self.fleet.add(FleetWorker(event.entry, 0.005, {"m": 1}))  # type: ignore[union-attr]
 
     def add_scorer(self) -> None:
-        beat = {"service": "desk", "address": "s:1", "slots": 8, "state": "ready"}
+        beat = {"service": "desk", "address": "10.128.0.8:8080", "slots": 8, "state": "ready",
+                "born": 1765000000123}  # fmt: skip
         self.store.do_append(RECORDS.workers, (KeyedRecord("s-1", json.dumps(beat).encode()),), None, None)
         event = RECORDS.worker_event(_change("s-1", beat))
         self.fleet.add(FleetWorker(event.entry, is_scorer=True))  # type: ignore[union-attr]
--- a/tests/platform/test_crashed_workers.py
+++ b/tests/platform/test_crashed_workers.py
@@ -5,7 +5,8 @@
 
 import anyio
 import anyio.abc
-from worksramp_platform.documents import decode_worker
+import pytest
+from worksramp_platform.documents import EntryError, decode_worker
 from worksramp_platform.workers import PlatformWorkers
 
 from tests.platform.test_callers import HOST, Deployment, play
@@ -57,9 +58,17 @@
 
 
 def test_the_start_of_a_worker_is_told_by_its_entry() -> None:
-    beat = {"service": "desk", "address": "10.128.0.9:8080", "slots": 6, "born": 1765000000123}
+    beat = {
+        "service": "desk",
+        "address": "10.128.0.9:8080",
+        "slots": 6,
+        "state": "ready",
+        "born": 1765000000123,
+    }
     assert decode_worker("i-1", json.dumps(beat).encode()).started_ms == 1765000000123
-    assert decode_worker("i-1", json.dumps({"service": "desk", "address": "a:1"}).encode()).started_ms == 0
+    del beat["born"]
+    with pytest.raises(EntryError, match="born"):
+        decode_worker("i-1", json.dumps(beat).encode())
 
 
 def test_a_request_that_crashes_workers_is_refused_with_no_time_to_come_back() -> None:
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -110,6 +110,7 @@
         "coldLeftMs": 0,
         "models": [{"name": "m", "version": 3, "adapters": []}],
         "seq": 4,
+        "born": 1765000000123,
     }
     entry = decode_worker("i-1", json.dumps(beat).encode())
     assert (entry.is_leaving, entry.num_slots, entry.model_versions) == (True, 16, {"m": 3})
--- /dev/null
+++ b/tests/platform/test_entries.py
@@ -0,0 +1,156 @@
+"""Entries of workers that another writer made, or that cannot be read.
+
+Every node follows the same entries, so that one which ends the follower of one node ends it at all of them,
+and again after each restart.
+"""
+
+import json
+import struct
+from collections.abc import Callable
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from worksramp_platform.documents import StoreRecords
+from worksramp_platform.lots import decode_lot
+from worksramp_platform.store import unpack
+
+from worksramp.coordination.keyed_replica import Change
+from worksramp.edge.ports import RecordFault, Unreadable, WorkerSeen
+
+HUGE = 10**400
+ENTRY = {
+    "service": "fleet",
+    "address": "10.128.0.9:8080",
+    "zone": "z",
+    "version": "v1",
+    "slots": 16,
+    "state": "ready",
+    "coldLeftMs": 0,
+    "models": [{"name": "m", "version": 3, "adapters": []}],
+    "seq": 4,
+    "born": 1765000000123,
+}
+TOO_DEEP = b"[" * 100_000
+
+Values = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.floats(allow_nan=False, allow_infinity=False)
+    | st.text(max_size=20),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=8), inner, max_size=3),
+    max_leaves=6,
+)
+
+
+def entry(**changes: object) -> bytes:
+    return json.dumps({**ENTRY, **changes}).encode()
+
+
+def without(field: str) -> bytes:
+    return json.dumps({name: value for name, value in ENTRY.items() if name != field}).encode()
+
+
+def fault_of(data: bytes) -> RecordFault | None:
+    event = StoreRecords().worker_event(Change("i-1", data, 1))
+    return event.fault if isinstance(event, Unreadable) else None
+
+
+def test_a_proper_entry_names_a_worker() -> None:
+    assert fault_of(entry()) is None
+    assert fault_of(entry(state="draining", newField={"is": "passed over"})) is None
+
+
+@pytest.mark.parametrize("field", ["service", "address", "slots", "state", "born"])
+def test_an_entry_without_a_field_names_no_worker(field: str) -> None:
+    assert fault_of(without(field)) is RecordFault.BAD_VALUE
+
+
+@pytest.mark.parametrize(
+    ("field", "value", "fault"),
+    [
+        ("born", 1765000000123.5, RecordFault.BAD_VALUE),
+        ("born", "1765000000123", RecordFault.BAD_VALUE),
+        ("born", HUGE, RecordFault.BAD_VALUE),
+        ("born", -1, RecordFault.BAD_VALUE),
+        ("born", 0, RecordFault.BAD_VALUE),
+        ("slots", 10**9, RecordFault.BAD_VALUE),
+        ("slots", 0, RecordFault.BAD_VALUE),
+        ("slots", HUGE, RecordFault.BAD_VALUE),
+        ("slots", True, RecordFault.BAD_VALUE),
+        ("seq", HUGE, RecordFault.BAD_VALUE),
+        ("address", "10.128.0.9", RecordFault.BAD_VALUE),
+        ("address", "10.128.0.9:99999", RecordFault.BAD_VALUE),
+        ("address", "10.128.0.9:-1", RecordFault.BAD_VALUE),
+        ("address", ":80", RecordFault.BAD_VALUE),
+        ("address", "a b\r\n:80", RecordFault.BAD_VALUE),
+        ("service", "", RecordFault.BAD_VALUE),
+        ("state", "resting", RecordFault.UNKNOWN_STATE),
+        ("models", [{"name": "m", "version": -1}], RecordFault.BAD_VALUE),
+        ("models", [{"name": "m", "version": HUGE}], RecordFault.BAD_VALUE),
+    ],
+    ids=lambda value: str(value)[:24],
+)
+def test_an_entry_with_a_value_that_cannot_be_names_no_worker(
+    field: str, value: object, fault: RecordFault
+) -> None:
+    assert fault_of(entry(**{field: value})) is fault
+
+
+@pytest.mark.parametrize("data", [b'{"x":' + TOO_DEEP, b"\xff\xfe", b'{"service":"\xff"}', b"", b"{"])
+def test_bytes_that_cannot_be_read_name_no_worker(data: bytes) -> None:
+    assert fault_of(data) is RecordFault.MALFORMED
+
+
+@pytest.mark.parametrize("data", [b"[]", b"7", b"null", b"{}"])
+def test_other_shapes_name_no_worker(data: bytes) -> None:
+    assert fault_of(data) is RecordFault.BAD_VALUE
+
+
+@given(st.binary(max_size=200))
+@settings(derandomize=True, max_examples=300)
+def test_any_bytes_are_decoded_without_an_error(data: bytes) -> None:
+    records = StoreRecords()
+    for decode in (records.worker_event, records.control_event):
+        for key in ("i-1", "config", "version/m"):
+            decode(Change(key, data, 1))
+
+
+@given(st.sampled_from(sorted(ENTRY)), Values)
+@settings(derandomize=True, max_examples=400)
+def test_any_value_of_any_field_is_decoded_without_an_error(field: str, value: object) -> None:
+    data = json.dumps({**ENTRY, field: value}).encode()
+    event = StoreRecords().worker_event(Change("i-1", data, 1))
+    assert isinstance(event, WorkerSeen | Unreadable)
+
+
+@pytest.mark.parametrize("key", ["config", "version/m"])
+def test_nesting_without_end_is_an_unreadable_record(key: str) -> None:
+    assert isinstance(StoreRecords().control_event(Change(key, b'{"x":' + TOO_DEEP, 1)), Unreadable)
+
+
+def test_a_callers_batch_of_endless_nesting_is_malformed() -> None:
+    with pytest.raises(ValueError, match="nested"):
+        decode_lot(b'{"x":' + TOO_DEEP)
+
+
+def record(body: bytes) -> bytes:
+    return struct.pack(">I", len(body)) + body
+
+
+@pytest.mark.parametrize(
+    "body", [b"", b"\x00", b"\x02\xff\xfe value", b"\xffshort"], ids=["empty", "no_key", "no_text", "cut"]
+)
+def test_a_record_whose_key_cannot_be_read_leaves_the_others_at_their_offsets(body: bytes) -> None:
+    good: Callable[[bytes], bytes] = lambda key: record(bytes([len(key)]) + key + b"value")  # noqa: E731
+    records = unpack(good(b"a") + record(body) + good(b"b"), 7)
+    by_key = {found.key: found.offset for found in records}
+    assert (by_key["a"], by_key["b"]) == (7, 9)
+
+
+@given(st.binary(max_size=64))
+@settings(derandomize=True, max_examples=300)
+def test_any_answer_of_the_store_is_unpacked_without_an_error(data: bytes) -> None:
+    unpack(data, 0)
+    unpack(record(data), 0)
