Long items leave slow workers while others wait, and slow workers are remembered

Paces were forgotten after 3 s without an event, so the longest items went to slow workers (0.16 and 0.19 s an event), the emptiest ones; and a run was moved only while no item waited at all, here for want of weights, until 29.4 s: 26 events in 4 s.

The load of a place counts what its runs still have to make (it counted one token an event before).

Ruled out: the takeover (1.25 s of silence, then 0.05 s), listing (0.05 s), reads of trainers (twice a second).

--- a/src/worksramp/rollout/batch_schedule.py
+++ b/src/worksramp/rollout/batch_schedule.py
@@ -1,4 +1,8 @@
-"""Which waiting item of a batch goes to which worker: a pure decision from one view."""
+"""Which waiting item of a batch goes to which worker: a pure decision from one view.
+
+Load pattern: a step's items come all at once, many short ones and few that are ten times as long; the step
+ends with the last of those. A part of the workers is slow, or was when last used and may have recovered.
+"""
 
 import math
 from dataclasses import dataclass
@@ -9,6 +13,8 @@
 PACE_TIER_RATIO = 1.15
 #: A batch that has waited this long goes before longer items of younger ones.
 OLD_BATCH_SECONDS = 2.5
+#: Longest time that an item may take at a worker which is to show whether it has recovered.
+MAX_PROBE_S = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -22,6 +28,7 @@
         min_version: oldest weights it may go on under.
         only_version: the one version it may go on under, None for any.
         avoided: workers it must not go to now.
+        tokens_per_event: tokens that one event holds.
     """
 
     key: tuple[str, int]
@@ -33,6 +40,17 @@
     min_version: int
     only_version: int | None = None
     avoided: frozenset[str] = frozenset()
+    tokens_per_event: int = 1
+
+    @property
+    def num_expected_events(self) -> float:
+        """Events still to be made, as estimated."""
+        return self.num_expected_tokens / self.tokens_per_event
+
+    @property
+    def needs(self) -> tuple[str, str, int, int | None]:
+        """What a worker must have to run it; items with the same needs compete for the same slots."""
+        return (self.service, self.model, self.min_version, self.only_version)
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,6 +65,8 @@
         seconds_per_event: measured, None before the first.
         is_slow: far slower than the others; used last.
         is_suspect: fails part of what it is given; used after all others.
+        may_have_recovered: it was slow when last measured, which is a while ago.
+        num_expected_events: events that its runs are still expected to make.
     """
 
     worker_id: str
@@ -59,6 +79,8 @@
     seconds_per_event: float | None = None
     is_slow: bool = False
     is_suspect: bool = False
+    may_have_recovered: bool = False
+    num_expected_events: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,6 +97,12 @@
     num_running: int
     num_expected_tokens: int
 
+    def take(self, item: WaitingItem) -> Assignment:
+        """Give a slot to an item."""
+        self.num_running += 1
+        self.num_expected_tokens += item.num_expected_tokens
+        return Assignment(item.key, self.place.worker_id)
+
 
 def assign(waiting: list[WaitingItem], places: list[Place]) -> list[Assignment]:
     """Give waiting items to free slots, the longest first, each to the fastest worker that may run it.
@@ -84,14 +112,13 @@
     """
     fastest = min((place.seconds_per_event for place in places if place.seconds_per_event), default=None)
     rooms = [_Room(place, place.num_running, place.num_expected_tokens) for place in places]
-    assignments: list[Assignment] = []
-    for item in sorted(waiting, key=_rank):
-        room = _choose_room(item, rooms, fastest)
-        if room is None:
-            continue
-        room.num_running += 1
-        room.num_expected_tokens += item.num_expected_tokens
-        assignments.append(Assignment(item.key, room.place.worker_id))
+    ranked = sorted(waiting, key=rank)
+    assignments = _probes(ranked, rooms)
+    probing = {assignment.key for assignment in assignments}
+    for item in ranked:
+        room = None if item.key in probing else _choose_room(item, rooms, fastest)
+        if room is not None:
+            assignments.append(room.take(item))
     return assignments
 
 
@@ -107,7 +134,8 @@
     )
 
 
-def _rank(item: WaitingItem) -> tuple[bool, int, tuple[str, int]]:
+def rank(item: WaitingItem) -> tuple[bool, int, tuple[str, int]]:
+    """Return what waiting items are sorted by."""
     return (_is_young(item), _length_rank(item), item.key)
 
 
@@ -129,6 +157,28 @@
     return place.is_suspect
 
 
+@mechanism("probes", without=lambda ranked, rooms: [])
+def _probes(ranked: list[WaitingItem], rooms: list[_Room]) -> list[Assignment]:
+    """Give the shortest items to idle workers that may have recovered, one to each.
+
+    Left alone such a worker would count as slow for long; the longest item, which goes to the emptiest worker
+    first, would show at the cost of a step that it has not recovered.
+    """
+    doubtful = [room for room in rooms if room.place.may_have_recovered and room.num_running == 0]
+    assignments: list[Assignment] = []
+    for item in reversed(ranked):
+        if not doubtful:
+            break
+        room = next((room for room in doubtful if may_run(item, room.place)), None)
+        if room is None:
+            continue
+        if item.num_expected_events * (room.place.seconds_per_event or 0.0) > MAX_PROBE_S:
+            break
+        doubtful.remove(room)
+        assignments.append(room.take(item))
+    return assignments
+
+
 def _choose_room(item: WaitingItem, rooms: list[_Room], fastest: float | None) -> _Room | None:
     candidates = [
         room for room in rooms if room.num_running < room.place.num_slots and may_run(item, room.place)
--- /dev/null
+++ b/src/worksramp/rollout/elsewhere.py
@@ -0,0 +1,67 @@
+"""What an item that runs would gain at another worker: a pure decision from one view.
+
+Load pattern: workers turn slow under long items, in calm as well as while more items wait than there are
+slots. A move is worth its cost where the item gets a slot of a fast worker soon enough; while others wait, it
+comes after those that are longer or of an old batch, and one of the others takes the slot that it leaves.
+"""
+
+import bisect
+from collections import defaultdict
+from collections.abc import Iterable
+
+from worksramp.mechanisms import mechanism
+from worksramp.rollout.batch_schedule import Place, WaitingItem, may_run, rank
+from worksramp.rollout.fast_slots import FAST_PACE_RATIO, FastSlots, SlotUse, fast_slots, gain_of_waiting_s
+
+
+class Elsewhere:
+    """The workers of a fleet and what waits for them, at one moment."""
+
+    def __init__(self, places: list[Place], waiting: list[WaitingItem]) -> None:
+        self._places = places
+        self._fastest = min(
+            (place.seconds_per_event or 0.0 for place in places if place.seconds_per_event), default=0.0
+        )
+        self._ranks = defaultdict(list)
+        for item in waiting:
+            self._ranks[item.needs].append(rank(item))
+        for ranks in self._ranks.values():
+            ranks.sort()
+
+    def has_faster_than(self, pace_s: float) -> bool:
+        """Return whether any worker is clearly faster than ``pace_s`` for each event."""
+        return 0.0 < FAST_PACE_RATIO * self._fastest < pace_s
+
+    def gain_s(self, item: WaitingItem, worker_id: str, pace_s: float, num_events_left: float) -> float:
+        """Return the seconds by which an item that runs at ``worker_id`` ends sooner elsewhere."""
+        if self._ranks and not _may_move_while_items_wait():
+            return 0.0
+        fast = _slots_for(item, [place for place in self._places if place.worker_id != worker_id])
+        if fast is None:
+            return 0.0
+        return gain_of_waiting_s(num_events_left, pace_s, fast, self._num_before(item))
+
+    def _num_before(self, item: WaitingItem) -> int:
+        return bisect.bisect_left(self._ranks.get(item.needs, []), rank(item))
+
+
+@mechanism("moves_while_items_wait", without=lambda: False)
+def _may_move_while_items_wait() -> bool:
+    """Move long items off slow workers even while others wait for a place, or for weights."""
+    return True
+
+
+def _slots_for(item: WaitingItem, places: Iterable[Place]) -> FastSlots | None:
+    """Return the slots of fast workers that an item may go to, None while no pace is known."""
+    return fast_slots(
+        [
+            SlotUse(
+                max(0, place.num_slots - place.num_running),
+                place.num_running,
+                place.num_expected_events,
+                place.seconds_per_event,
+            )
+            for place in places
+            if may_run(item, place) and not place.is_suspect
+        ]
+    )
--- a/src/worksramp/rollout/open_items.py
+++ b/src/worksramp/rollout/open_items.py
@@ -2,6 +2,7 @@
 
 from collections import Counter, deque
 from collections.abc import Iterable
+from dataclasses import dataclass
 
 import anyio
 
@@ -17,6 +18,15 @@
 NUM_REMEMBERED_STEPS = 3
 
 
+@dataclass(slots=True)
+class _Load:
+    """What the owner has at one worker."""
+
+    num_runs: int = 0
+    num_tokens: int = 0
+    num_events: float = 0.0
+
+
 class OpenItems:
     """All items of an owner's batches that are not listed yet.
 
@@ -128,50 +138,62 @@
                     min_version=work.min_version,
                     only_version=only,
                     avoided=work.avoided_now(now),
+                    tokens_per_event=tokens_per_event,
                 )
             )
         return items
 
     def places(self, now: float) -> list[Place]:
         """Return the workers that may be given work, as the scheduler sees them."""
-        counts: dict[str, int] = {}
-        tokens: dict[str, int] = {}
-        for work in self.works.values():
-            if work.run is not None:
-                worker_id = work.run.worker_id
-                counts[worker_id] = counts.get(worker_id, 0) + 1
-                tokens[worker_id] = tokens.get(worker_id, 0) + work.num_expected_tokens(1)
         table = self._context.table.current
         if table is None:
             return []
-        slow, suspects = self._pace.slow_workers(now), self._failures.suspects(now)
+        load = self._load()
+        slow, suspects = self._pace.believed_slow(now), self._failures.suspects(now)
         return [
-            self._place(state, counts, tokens, slow, suspects, now)
+            self._place(state, load.get(state.entry.worker_id, _Load()), slow, suspects, now)
             for service in table.services
             for state in self._context.directory.usable(service)
             if state.avoid_until <= now
         ]
 
+    def _load(self) -> dict[str, _Load]:
+        """Return the load of each worker that runs items, in the owner's own count."""
+        loads: dict[str, _Load] = {}
+        for work in self.works.values():
+            if work.run is None:
+                continue
+            load = loads.setdefault(work.run.worker_id, _Load())
+            tokens_per_event = self.tokens_per_event(work)
+            num_tokens = work.num_expected_tokens(tokens_per_event)
+            load.num_runs += 1
+            load.num_tokens += num_tokens
+            load.num_events += num_tokens / tokens_per_event
+        return loads
+
     def _place(
         self,
         state: WorkerState,
-        counts: dict[str, int],
-        tokens: dict[str, int],
+        load: _Load,
         slow: frozenset[str],
         suspects: frozenset[str],
         now: float,
     ) -> Place:
         worker_id = state.entry.worker_id
         loading = self.loading.get(worker_id)
+        pace = self._pace.believed(worker_id, now)
+        is_slow = worker_id in slow
         return Place(
             worker_id=worker_id,
             service=state.entry.service,
             num_slots=state.entry.num_slots,
-            num_running=counts.get(worker_id, 0),
-            num_expected_tokens=tokens.get(worker_id, 0),
+            num_running=load.num_runs,
+            num_expected_tokens=load.num_tokens,
             versions=state.versions,
             loading=frozenset() if loading is None else frozenset([loading]),
-            seconds_per_event=self._pace.seconds_per_event(worker_id, now),
-            is_slow=worker_id in slow,
+            seconds_per_event=None if pace is None else pace.seconds_per_event,
+            is_slow=is_slow,
             is_suspect=worker_id in suspects,
+            may_have_recovered=is_slow and pace is not None and pace.is_old,
+            num_expected_events=load.num_events,
         )
--- a/src/worksramp/rollout/run_watch.py
+++ b/src/worksramp/rollout/run_watch.py
@@ -4,7 +4,7 @@
 import structlog
 
 from worksramp.mechanisms import mechanism
-from worksramp.rollout.batch_schedule import Place, assign
+from worksramp.rollout.elsewhere import Elsewhere
 from worksramp.rollout.item_work import ItemWork, Run
 from worksramp.rollout.open_items import OpenItems
 from worksramp.rollout.pace import PaceTracker
@@ -17,8 +17,6 @@
 #: A move costs a new connection and the reading of the prompt and the text so far.
 MOVE_COST_SECONDS = 0.1
 MIN_MOVE_GAIN_SECONDS = 0.25
-#: Below this ratio the difference between two paces may be chance.
-MIN_MOVE_PACE_RATIO = 1.2
 #: Lengths have a long tail: what has run for long is expected to go on for this share of it.
 EXPECTED_TAIL_SHARE = 0.4
 MAX_MOVES_A_TICK = 2
@@ -38,9 +36,8 @@
         """Look at all runs once."""
         now = anyio.current_time()
         typical = self._pace.typical_seconds(now)
-        places = self._items.places(now)
-        # Where items wait for a place, a move would only change who waits.
-        num_moves = MAX_MOVES_A_TICK if self._items.waiting() else 0
+        elsewhere = Elsewhere(self._items.places(now), self._items.waiting_items(self._items.waiting(), now))
+        num_moves = 0
         for work in list(self._items.works.values()):
             run = work.run
             if run is None or run.is_moving or run.worker_id in self._items.loading:
@@ -51,7 +48,7 @@
             elif (
                 num_moves < MAX_MOVES_A_TICK
                 and not work.is_carried
-                and self._gain_of_move(work, run, places, now) > MIN_MOVE_GAIN_SECONDS
+                and self._gain_of_move(work, run, elsewhere, now) > MIN_MOVE_GAIN_SECONDS
             ):
                 num_moves += 1
                 self._move(work, run, "faster_elsewhere", now)
@@ -72,38 +69,26 @@
             return silent > FIRST_EVENT_SECONDS
         return silent > max(MIN_STUCK_SECONDS, STUCK_FACTOR * (typical or 0.0))
 
-    @mechanism("moves_to_faster", without=lambda watch, work, run, places, now: 0.0)
-    def _gain_of_move(self, work: ItemWork, run: Run, places: list[Place], now: float) -> float:
-        """Return the seconds by which an item is expected to end sooner at the best other worker."""
+    @mechanism("moves_to_faster", without=lambda watch, work, run, elsewhere, now: 0.0)
+    def _gain_of_move(self, work: ItemWork, run: Run, elsewhere: Elsewhere, now: float) -> float:
+        """Return the seconds by which an item is expected to end sooner at another worker."""
         pace = self._pace.seconds_per_event(run.worker_id, now)
         if pace is None or now - run.started_at < MIN_SECONDS_BETWEEN_MOVES:
             return 0.0
         # Most runs are at workers about as fast as any: they are passed over before it gets dear.
-        if not any(
-            place.seconds_per_event is not None
-            and place.num_running < place.num_slots
-            and pace >= MIN_MOVE_PACE_RATIO * place.seconds_per_event
-            for place in places
-        ):
+        if not elsewhere.has_faster_than(pace):
             return 0.0
-        other = self._best_other_pace(work, run, places, now)
-        if other is None or pace < MIN_MOVE_PACE_RATIO * other:
+        items = self._items.waiting_items([work], now)
+        if not items:
             return 0.0
-        return self._num_events_left(work) * (pace - other) - MOVE_COST_SECONDS
+        gain_s = elsewhere.gain_s(items[0], run.worker_id, pace, self._num_events_left(work))
+        return gain_s - MOVE_COST_SECONDS
 
     def _num_events_left(self, work: ItemWork) -> float:
         tokens_per_event = self._items.tokens_per_event(work)
         estimated = work.num_expected_tokens(tokens_per_event) / tokens_per_event
         return max(estimated, EXPECTED_TAIL_SHARE * len(work.text.pieces))
 
-    def _best_other_pace(self, work: ItemWork, run: Run, places: list[Place], now: float) -> float | None:
-        """Return the pace of the worker with a free slot that an item would move to, None without one."""
-        items = self._items.waiting_items([work], now)
-        assignments = assign(items, [place for place in places if place.worker_id != run.worker_id])
-        if not assignments:
-            return None
-        return self._pace.seconds_per_event(assignments[0].worker_id, now)
-
     def _move(self, work: ItemWork, run: Run, reason: str, now: float) -> None:
         run.is_moving = True
         work.avoid(run.worker_id, now + 2 * MIN_SECONDS_BETWEEN_MOVES)
--- /dev/null
+++ b/tests/unit/schedule_replay.py
@@ -0,0 +1,165 @@
+"""Replays a load of items before the schedule's decisions alone: no owner, no bench, a virtual clock."""
+
+import random
+from collections import defaultdict
+from dataclasses import dataclass, field
+
+from worksramp.rollout.batch_schedule import Place, WaitingItem, assign, rank
+from worksramp.rollout.elsewhere import Elsewhere
+from worksramp.rollout.pace import PaceTracker
+
+TICK_S = 0.05
+NUM_SLOTS = 6
+SOUND_PACE_S = 0.0385
+TOKENS_PER_EVENT = 59
+MAX_EVENTS = 182
+GROUP_SIZE = 16
+#: As in the owner's watch: a move takes this long, and is not made for less.
+MOVE_COST_S, MIN_GAIN_S, MIN_BETWEEN_MOVES_S = 0.1, 0.25, 0.6
+MAX_MOVES_A_TICK = 2
+
+
+@dataclass
+class Item:
+    """One item of the replayed load."""
+
+    key: tuple[str, int]
+    group: int
+    asked_at: float
+    num_events: int
+    hint_tokens: int
+    min_version: int = 1
+    num_made: float = 0.0
+    worker: str = ""
+    started_at: float = 0.0
+    whole_at: float | None = None
+    avoided: frozenset[str] = frozenset()
+
+    def view(self, now: float) -> WaitingItem:
+        """Return it as the schedule sees it."""
+        left = max(self.hint_tokens - int(self.num_made) * TOKENS_PER_EVENT, TOKENS_PER_EVENT)
+        return WaitingItem(
+            self.key,
+            "s",
+            "m",
+            now - self.asked_at,
+            left,
+            1,
+            self.min_version,
+            None,
+            self.avoided,
+            TOKENS_PER_EVENT,
+        )
+
+
+@dataclass
+class Worker:
+    """A worker; slow while ``slow_from <= now < slow_to``, with version 2 from ``loaded_at`` on."""
+
+    name: str
+    factor: float = 1.0
+    slow_from: float = float("inf")
+    slow_to: float = float("inf")
+    loaded_at: float = 0.0
+
+    def pace(self, now: float) -> float:
+        """Return seconds for each event now."""
+        return SOUND_PACE_S * (self.factor if self.slow_from <= now < self.slow_to else 1.0)
+
+
+@dataclass
+class Replay:
+    """A load and a fleet."""
+
+    workers: list[Worker]
+    items: list[Item] = field(default_factory=list)
+    pace: PaceTracker = field(default_factory=PaceTracker)
+
+    def ask(self, name: str, at: float, num_groups: int, source: random.Random, min_version: int = 1) -> None:
+        """Add a step: many short items, few very long ones, lengths that are known roughly."""
+        for idx in range(num_groups * GROUP_SIZE):
+            num_events = max(1, min(MAX_EVENTS, round(source.lognormvariate(2.7, 1.15))))
+            hint = round(num_events * TOKENS_PER_EVENT * source.lognormvariate(0.0, 0.5))
+            self.items.append(Item((name, idx), idx // GROUP_SIZE, at, num_events, hint, min_version))
+
+    def run(self, until_s: float) -> None:
+        """Play the load."""
+        now = 0.0
+        while now < until_s:
+            self._make_events(now)
+            self._move(now)
+            self._assign(now)
+            now += TICK_S
+
+    def seconds_of_step(self, name: str, num_wanted: int) -> float:
+        """Return how long after its start a step had as many whole groups as are wanted."""
+        groups: dict[int, float] = {}
+        of_step = [item for item in self.items if item.key[0] == name]
+        for item in of_step:
+            ended = float("inf") if item.whole_at is None else item.whole_at
+            groups[item.group] = max(groups.get(item.group, 0.0), ended)
+        return sorted(groups.values())[num_wanted - 1] - of_step[0].asked_at
+
+    def _running(self) -> list[Item]:
+        return [item for item in self.items if item.worker]
+
+    def _waiting(self, now: float) -> list[Item]:
+        return [
+            item for item in self.items if not item.worker and item.whole_at is None and item.asked_at <= now
+        ]
+
+    def _make_events(self, now: float) -> None:
+        paces = {worker.name: worker.pace(now) for worker in self.workers}
+        for item in self._running():
+            pace = paces[item.worker]
+            before = int(item.num_made)
+            item.num_made += TICK_S / pace
+            for _ in range(int(item.num_made) - before):
+                self.pace.observe(item.worker, pace, now)
+            if item.num_made >= item.num_events:
+                item.worker, item.whole_at = "", now
+
+    def _places(self, now: float) -> list[Place]:
+        slow = self.pace.believed_slow(now)
+        running: defaultdict[str, list[WaitingItem]] = defaultdict(list)
+        for item in self._running():
+            running[item.worker].append(item.view(now))
+        places = []
+        for worker in self.workers:
+            views = running[worker.name]
+            believed = self.pace.believed(worker.name, now)
+            places.append(
+                Place(
+                    worker.name,
+                    "s",
+                    NUM_SLOTS,
+                    len(views),
+                    sum(view.num_expected_tokens for view in views),
+                    {"m": 2 if now >= worker.loaded_at else 1},
+                    seconds_per_event=None if believed is None else believed.seconds_per_event,
+                    is_slow=worker.name in slow,
+                    may_have_recovered=worker.name in slow and believed is not None and believed.is_old,
+                    num_expected_events=sum(view.num_expected_events for view in views),
+                )
+            )
+        return places
+
+    def _move(self, now: float) -> None:
+        elsewhere = Elsewhere(self._places(now), [item.view(now) for item in self._waiting(now)])
+        num_moves = 0
+        for item in self._running():
+            pace = self.pace.seconds_per_event(item.worker, now)
+            if pace is None or now - item.started_at < MIN_BETWEEN_MOVES_S or num_moves >= MAX_MOVES_A_TICK:
+                continue
+            view = item.view(now)
+            left = max(view.num_expected_events, 0.4 * item.num_made)
+            if elsewhere.gain_s(view, item.worker, pace, left) - MOVE_COST_S > MIN_GAIN_S:
+                num_moves += 1
+                item.avoided, item.worker = frozenset([item.worker]), ""
+
+    def _assign(self, now: float) -> None:
+        by_key = {item.key: item for item in self._waiting(now)}
+        waiting = sorted((item.view(now) for item in by_key.values()), key=rank)
+        for assignment in assign(waiting, self._places(now)):
+            item = by_key[assignment.key]
+            item.worker, item.started_at = assignment.worker_id, now
