A node that refuses batches, as it is cut off from the store, says at once that it is not ready

If the whole store is away, all nodes say so, and the platform goes on using all of them, as its pages say.

--- a/src/worksramp/edge/node.py
+++ b/src/worksramp/edge/node.py
@@ -69,8 +69,12 @@
 
 @mechanism("unready_when_cut_off", without=lambda node: True)
 def _may_be_ready(node: "EdgeNode") -> bool:
-    """Send new callers elsewhere while the configuration in force cannot be confirmed within its bound."""
-    return node.is_table_fresh()
+    """Send new callers elsewhere while batches are refused here, or the configuration may be an old one.
+
+    Load pattern: some nodes are cut off from the store, the others are not. A trainer's calls come to the
+    same node each time, so that each of its reads is refused there until the platform sends it elsewhere.
+    """
+    return node.is_table_fresh() and not node.batches.is_cut_off()
 
 
 @dataclass(slots=True)
--- a/tests/unit/test_outages.py
+++ b/tests/unit/test_outages.py
@@ -8,6 +8,7 @@
 from worksramp.logs import configure_logs
 from worksramp_emulator.simulation.batch_world import SERVICE, BatchWorld, BatchWorldSpec
 from worksramp_emulator.simulation.clock import run_simulated
+from worksramp_emulator.simulation.live_world import LiveWorld
 
 
 def play(seed: int, work: Callable[[BatchWorld], Awaitable[None]]) -> None:
@@ -109,3 +110,31 @@
         assert usable(world) == [0] * 8
 
     play(1, work)
+
+
+def test_a_node_that_alone_is_cut_off_sends_callers_elsewhere_as_soon_as_it_refuses_batches() -> None:
+    """Its callers were refused until the configuration was old, and for two questions of the platform more."""
+
+    async def main() -> None:
+        configure_logs("error")
+        async with anyio.create_task_group() as group:
+            world = LiveWorld(num_application_workers=2, num_nodes=4, seed=1, group=group)
+            await world.start()
+            await anyio.sleep(1.0)
+            slot = world.slots[0]
+            group.start_soon(world.cut_node, slot, 6.0)
+            assert slot.node is not None
+            refused_at = ready_until = anyio.current_time()
+            while not slot.node.batches.is_cut_off():
+                await anyio.sleep(0.02)
+                refused_at = anyio.current_time()
+            while slot.node.is_ready:
+                await anyio.sleep(0.02)
+                ready_until = anyio.current_time()
+            assert ready_until <= refused_at
+            assert all(other.node is not None and other.node.is_ready for other in world.slots[1:])
+            await anyio.sleep(8.0)
+            assert slot.node.is_ready
+            group.cancel_scope.cancel()
+
+    run_simulated(main, 1)
