--- a/tests/unit/test_outages.py
+++ b/tests/unit/test_outages.py
@@ -113,7 +113,7 @@
 
 
 def test_a_node_that_alone_is_cut_off_sends_callers_elsewhere_as_soon_as_it_refuses_batches() -> None:
-    """Its callers were refused until the configuration was old, and for two questions of the platform more."""
+    """Its callers were refused until the configuration was old, and two questions of the platform more."""
 
     async def main() -> None:
         configure_logs("error")
