--- a/src/worksramp/rollout/elsewhere.py
+++ b/src/worksramp/rollout/elsewhere.py
@@ -14,7 +14,6 @@
 from worksramp.mechanisms import mechanism
 from worksramp.rollout.batch_schedule import Place, WaitingItem, may_run, rank
 from worksramp.rollout.fast_slots import (
-    FAST_PACE_RATIO,
     FastSlots,
     SlotUse,
     fast_pace_s,
@@ -47,10 +46,6 @@
         for ranks in self._ranks.values():
             ranks.sort()
 
-    def has_faster_than(self, pace_s: float) -> bool:
-        """Return whether fast workers are clearly faster than ``pace_s`` for each event."""
-        return FAST_PACE_RATIO * self._fast_s < pace_s
-
     def gain_s(self, item: WaitingItem, worker_id: str, pace_s: float, num_events_left: float) -> float:
         """Return the seconds by which an item that runs at ``worker_id`` ends sooner elsewhere."""
         if self._ranks and not _may_move_while_items_wait():
--- a/src/worksramp/rollout/pace.py
+++ b/src/worksramp/rollout/pace.py
@@ -1,9 +1,11 @@
 """How fast workers make events, and which are far slower than the rest."""
 
+import math
 import statistics
 from dataclasses import dataclass
 
 from worksramp.mechanisms import mechanism
+from worksramp.rollout.fast_slots import FAST_PACE_RATIO, fast_pace_s
 
 SMOOTHING = 0.25
 MIN_SAMPLES = 4
@@ -55,6 +57,9 @@
 
     def __init__(self) -> None:
         self._paces: dict[str, _WorkerPace] = {}
+        #: Pace of the fast workers, kept for one moment: it is asked for once a run.
+        self._fast_s = math.inf
+        self._fast_at = -math.inf
 
     def observe(self, worker_id: str, seconds: float, now: float) -> None:
         """Take in the time between two events of one run."""
@@ -103,6 +108,17 @@
         bound = SLOW_FACTOR * statistics.median_low(paces.values())
         return frozenset(worker_id for worker_id, seconds in paces.items() if seconds > bound)
 
+    def is_below_fast(self, worker_id: str, now: float) -> bool:
+        """Return whether a worker is clearly slower than the fast ones."""
+        own = self.seconds_per_event(worker_id, now)
+        if own is None:
+            return False
+        if self._fast_at != now:
+            found = [self.seconds_per_event(each, now) for each in self._paces]
+            self._fast_s = fast_pace_s([pace for pace in found if pace is not None])
+            self._fast_at = now
+        return own > FAST_PACE_RATIO * self._fast_s
+
     def typical_seconds(self, now: float) -> float | None:
         """Return the median pace of all workers, None when none is known."""
         known = [self.seconds_per_event(worker_id, now) for worker_id in list(self._paces)]
--- a/src/worksramp/rollout/run_watch.py
+++ b/src/worksramp/rollout/run_watch.py
@@ -35,27 +35,19 @@
     def look(self) -> None:
         """Look at all runs once."""
         now = anyio.current_time()
+        running = [
+            (work, work.run)
+            for work in self._items.works.values()
+            if work.run is not None
+            and not work.run.is_moving
+            and work.run.worker_id not in self._items.loading
+        ]
         typical = self._pace.typical_seconds(now)
-        elsewhere = Elsewhere(
-            self._items.places(now),
-            self._items.waiting_items(self._items.waiting(), now),
-            self._longest_left(),
-        )
-        num_moves = 0
-        for work in list(self._items.works.values()):
-            run = work.run
-            if run is None or run.is_moving or run.worker_id in self._items.loading:
-                continue
+        for work, run in running:
             if self._is_stuck(run, typical, now):
                 self._failures.observe(run.worker_id, is_failure=True, now=now)
                 self._move(work, run, "stuck", now)
-            elif (
-                num_moves < MAX_MOVES_A_TICK
-                and not work.is_carried
-                and self._gain_of_move(work, run, elsewhere, now) > MIN_MOVE_GAIN_SECONDS
-            ):
-                num_moves += 1
-                self._move(work, run, "faster_elsewhere", now)
+        self._move_slow([(work, run) for work, run in running if not run.is_moving], now)
 
     def close_runs_at(self, worker_id: str) -> None:
         """Take the runs at a worker that has started again for cut off."""
@@ -73,17 +65,38 @@
             return silent > FIRST_EVENT_SECONDS
         return silent > max(MIN_STUCK_SECONDS, STUCK_FACTOR * (typical or 0.0))
 
-    @mechanism("moves_to_faster", without=lambda watch, work, run, elsewhere, now: 0.0)
+    @mechanism("moves_to_faster", without=lambda watch, running, now: None)
+    def _move_slow(self, running: list[tuple[ItemWork, Run]], now: float) -> None:
+        """Move items off slow workers where they end sooner elsewhere, the wait for a place included."""
+        slow = [
+            (work, run)
+            for work, run in running
+            if not work.is_carried
+            and now - run.started_at >= MIN_SECONDS_BETWEEN_MOVES
+            and self._pace.is_below_fast(run.worker_id, now)
+        ]
+        if not slow:
+            # Most looks end here; the view of what is elsewhere is dear.
+            return
+        elsewhere = Elsewhere(
+            self._items.places(now),
+            self._items.waiting_items(self._items.waiting(), now),
+            self._longest_left(),
+        )
+        num_moves = 0
+        for work, run in slow:
+            if (
+                num_moves < MAX_MOVES_A_TICK
+                and self._gain_of_move(work, run, elsewhere, now) > MIN_MOVE_GAIN_SECONDS
+            ):
+                num_moves += 1
+                self._move(work, run, "faster_elsewhere", now)
+
     def _gain_of_move(self, work: ItemWork, run: Run, elsewhere: Elsewhere, now: float) -> float:
         """Return the seconds by which an item is expected to end sooner at another worker."""
         pace = self._pace.seconds_per_event(run.worker_id, now)
-        if pace is None or now - run.started_at < MIN_SECONDS_BETWEEN_MOVES:
-            return 0.0
-        # Most runs are at workers about as fast as any: they are passed over before it gets dear.
-        if not elsewhere.has_faster_than(pace):
-            return 0.0
         items = self._items.waiting_items([work], now)
-        if not items:
+        if pace is None or not items:
             return 0.0
         gain_s = elsewhere.gain_s(items[0], run.worker_id, pace, self._num_events_left(work))
         return gain_s - MOVE_COST_SECONDS
