Workers of some deployments do not tell their start: they are used, but not beside others that do

Now an entry without it is a worker's where no entry tells a start; as soon as one does, those that do not are no workers.

--- a/src/worksramp/edge/worker_entries.py
+++ b/src/worksramp/edge/worker_entries.py
@@ -8,7 +8,7 @@
 
 from worksramp.edge.ports import RecordFault, Unreadable, WorkerEvent, WorkerGone, WorkerSeen
 from worksramp.routing.quarantine import Quarantine
-from worksramp.routing.workers import WorkerDirectory, WorkerEntry
+from worksramp.routing.workers import START_NOT_TOLD, WorkerDirectory, WorkerEntry
 
 DROP_TICK_SECONDS = 0.1
 #: Entries that go this soon after an outage of the store went because of it.
@@ -37,6 +37,7 @@
     on_refused: Callable[[RecordFault], None]
     on_change: Callable[[], None]
     _faults: dict[str, RecordFault] = field(default_factory=dict)
+    _are_starts_told: bool = False
 
     def take(self, event: WorkerEvent) -> None:
         """Take in a change of one entry; whatever it is, the others hold."""
@@ -60,6 +61,13 @@
                 self.on_change()
 
     def _take_seen(self, entry: WorkerEntry) -> None:
+        if entry.started_ms != START_NOT_TOLD:
+            self._note_start_told()
+        elif self._are_starts_told:
+            self._refuse(
+                Unreadable(entry.worker_id, "no start, which the others tell", RecordFault.BAD_VALUE)
+            )
+            return
         if self.directory.is_former_start(entry):
             reason = f"start {entry.started_ms} ms is before the one that is known"
             self._refuse(Unreadable(entry.worker_id, reason, RecordFault.FORMER_START))
@@ -81,6 +89,16 @@
             self.quarantine.note_gone(entry.worker_id)
         self.directory.put(entry)
 
+    def _note_start_told(self) -> None:
+        """Workers of a platform all tell their starts, or none: what tells none beside them is no worker."""
+        if self._are_starts_told:
+            return
+        self._are_starts_told = True
+        for state in self.directory.all_states():
+            if state.entry.started_ms == START_NOT_TOLD:
+                reason = "no start, which others tell"
+                self._refuse(Unreadable(state.entry.worker_id, reason, RecordFault.BAD_VALUE))
+
     def _take_gone(self, worker_id: str) -> None:
         """Drop a worker, or keep it for a while when its entry went with the store.
 
--- a/src/worksramp/routing/workers.py
+++ b/src/worksramp/routing/workers.py
@@ -5,6 +5,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+#: Stands for the start of a worker that does not tell it.
+START_NOT_TOLD = 0
 #: Workers that went and are still known by their newest start.
 MAX_REMEMBERED_STARTS = 1024
 
@@ -20,7 +22,7 @@
         num_slots: requests it runs at once.
         model_versions: version of each model it holds.
         order_sequence: orders it has taken, as far as the entry says.
-        started_ms: time of day of its start in milliseconds, 0 when not told.
+        started_ms: time of day of its start in milliseconds, START_NOT_TOLD when it does not say.
     """
 
     worker_id: str
@@ -31,7 +33,7 @@
     is_leaving: bool = False
     model_versions: dict[str, int] = field(default_factory=dict)
     order_sequence: int = 0
-    started_ms: int = 0
+    started_ms: int = START_NOT_TOLD
 
 
 @dataclass(frozen=True, slots=True, order=True)
--- a/tests/unit/test_worker_starts.py
+++ b/tests/unit/test_worker_starts.py
@@ -113,6 +113,28 @@
     assert directory.is_usable("w1")
 
 
+def untold(name: str) -> WorkerSeen:
+    return WorkerSeen(WorkerEntry(name, "fleet", f"{name}:1", "z", 6))
+
+
+def test_where_no_worker_tells_its_start_all_are_used() -> None:
+    directory, seen = WorkerDirectory(), list[RecordFault]()
+    entries = entries_of(directory, seen)
+    for name in ("w1", "w2"):
+        entries.take(untold(name))
+    assert (seen, len(directory.usable("fleet"))) == ([], 2)
+
+
+def test_an_entry_that_tells_no_start_beside_others_that_do_names_no_worker() -> None:
+    directory, seen = WorkerDirectory(), list[RecordFault]()
+    entries = entries_of(directory, seen)
+    entries.take(untold("other-1"))
+    entries.take(WorkerSeen(entry(FIRST_MS)))
+    entries.take(untold("other-2"))
+    assert seen == [RecordFault.BAD_VALUE] * 2
+    assert [state.entry.worker_id for state in directory.usable("fleet")] == ["w1"]
+
+
 def test_an_entry_of_a_former_start_leaves_no_worker_there() -> None:
     directory, seen = WorkerDirectory(), list[RecordFault]()
     entries = entries_of(directory, seen)
