--- a/tests/unit/test_crashing_requests.py
+++ b/tests/unit/test_crashing_requests.py
@@ -17,13 +17,14 @@
 
 import math
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from contextlib import AbstractContextManager
 from unittest import mock
 
 import anyio
 import pytest
 
+from worksramp.coordination.shared_log import KeyedRecord
 from worksramp.logs import configure_logs
 from worksramp.routing.crash_ledger import CrashLedger, CrashRecord
 from worksramp.routing.quarantine import FIRST_TRIAL_S, TRIAL_FACTOR, Quarantine
@@ -36,6 +37,8 @@
 KILLING = f"{APPLICATION_PREFIX}kills".encode()
 NUM_WORKERS, NUM_NODES = 3, 6
 SETTLE_S = 0.5
+#: Of the route of those requests.
+MAX_ATTEMPTS = 2
 TRAFFIC_S = 20.0
 
 Work = Callable[[LiveWorld], Awaitable[None]]
@@ -172,6 +175,35 @@
     assert num_ended(world) <= 6
 
 
+@pytest.mark.parametrize("seed", [1, 2, 3])
+@pytest.mark.parametrize("num_deaths", [1, 2])
+def test_a_node_that_dies_between_a_crash_and_its_record_hides_one_try_at_the_most(
+    num_deaths: int, seed: int
+) -> None:
+    died: list[str] = []
+
+    async def work(world: LiveWorld) -> None:
+        def die_first(quarantine: Quarantine, records: Iterable[KeyedRecord]) -> None:
+            of_crash = list(records)
+            holders = [slot for slot in world.slots if slot.node and slot.node.quarantine is quarantine]
+            if len(died) >= num_deaths or not holders:
+                write(quarantine, of_crash)
+                return
+            died.append(holders[0].name)
+            world.kill_node(holders[0])
+            world.group.start_soon(world.lose_node, holders[0], 0.6)
+
+        write = Quarantine._write
+        with mock.patch.object(Quarantine, "_write", die_first):
+            await come_again(world)
+
+    world = play(work, seed)
+    assert len(died) == num_deaths
+    assert check_crash_bound(world) == []
+    # What a death hides is one try, which may go to as many workers as its route allows.
+    assert num_ended(world) <= 3 + num_deaths * MAX_ATTEMPTS
+
+
 def test_an_innocent_that_was_blamed_is_tried_again_and_cleared() -> None:
     async def work(world: LiveWorld) -> None:
         slot = await world.wait_owner()
