An owner no longer ends when a whole text at a slow worker is all that is left of a batch

Cause: since runs at slow workers are weighed against the longest item of their batch that is not whole. A text is whole a moment before its run has ended, while its connection is closed; if it was the batch's last, there was no longest one, and the KeyError ended the owner's process (code 1). Found by reading what of the new code can raise there. Ruled out: calls through httpcore (the library's errors are caught as httpx's were), foreign entries.

--- a/src/worksramp/rollout/elsewhere.py
+++ b/src/worksramp/rollout/elsewhere.py
@@ -50,7 +50,8 @@
         """Return the seconds by which an item that runs at ``worker_id`` ends sooner elsewhere."""
         if self._ranks and not _may_move_while_items_wait():
             return 0.0
-        if not _is_critical(num_events_left * pace_s, self._longest_left[item.key[0]] * self._fast_s):
+        longest_left = self._longest_left.get(item.key[0], num_events_left)
+        if not _is_critical(num_events_left * pace_s, longest_left * self._fast_s):
             return 0.0
         fast = _slots_for(item, [place for place in self._places if place.worker_id != worker_id])
         if fast is None:
--- a/src/worksramp/rollout/run_watch.py
+++ b/src/worksramp/rollout/run_watch.py
@@ -40,6 +40,7 @@
             for work in self._items.works.values()
             if work.run is not None
             and not work.run.is_moving
+            and not work.text.is_whole
             and work.run.worker_id not in self._items.loading
         ]
         typical = self._pace.typical_seconds(now)
