--- a/tests/unit/test_failing_workers.py
+++ b/tests/unit/test_failing_workers.py
@@ -1,7 +1,8 @@
 """Two of three workers fail nine of ten runs for six seconds: nothing is wrong with the items.
 
-With each of these seeds one to five of 120 items were given up: they had gone to the failing workers six times
-while the sound one was full. The first four did so before held reads were answered sooner, the others after.
+With each of these seeds one to five of 120 items were given up: they had gone to the failing workers six
+times while the sound one was full. The first four did so before held reads were answered sooner, the others
+after.
 """
 
 import anyio
