Callers' keys and tenants: who asks is decided once, and batches belong to a tenant

One identity module (routing/identity.py) serves the edge role and the gateway: keys are kept and compared as digests. A caller without a valid key gets 401, or 503 at a node whose configuration may be old. The key is removed on entry, the tenant goes to workers on live requests, resumed streams, backup attempts, items and scoring calls. Batches and texts have ids scoped by a digest of the tenant, so that another tenant's calls find nothing, also when callers choose equal ids.

Ruled out: a check of the owner at each call in place of scoped ids (two tenants that submit one id at once would overwrite each other's header in the compacted log).

--- a/src/worksramp/edge/metrics.py
+++ b/src/worksramp/edge/metrics.py
@@ -23,6 +23,7 @@
         self.request_seconds = self._histogram(
             "request_seconds", "From reading a live request to its answer", REQUEST_BUCKETS, "kind"
         )
+        self.requests_denied = self._counter("requests_denied", "Requests without a valid API key", "reason")
         self.entries_refused = self._counter("entries_refused", "Entries that name no worker", "fault")
         self.crash_events = self._counter(
             "crash_events", "Broken connections to workers and what was decided on them", "event"
--- a/src/worksramp/edge/node.py
+++ b/src/worksramp/edge/node.py
@@ -265,7 +265,11 @@
 
     def is_table_fresh(self) -> bool:
         """Return whether the configuration in force was confirmed within its bound."""
-        return self._control.confirmed_age() <= self.settings.bounds.configuration_apply
+        return self.table_age_s() <= self.settings.bounds.configuration_apply
+
+    def table_age_s(self) -> float:
+        """Return the age in seconds of the last read that confirmed the configuration in force."""
+        return self._control.confirmed_age()
 
     async def run(self) -> None:
         """Follow the platform's records until cancelled."""
--- a/src/worksramp/gateway/http.py
+++ b/src/worksramp/gateway/http.py
@@ -1,7 +1,6 @@
 """Shared parts of the HTTP handlers: API keys, request bodies and headers, typed error responses."""
 
-import hashlib
-import hmac
+import functools
 import math
 from collections.abc import Awaitable, Callable
 from typing import Annotated, TypeVar
@@ -12,6 +11,7 @@
 
 from worksramp.gateway.backend import GatewayBackend
 from worksramp.outcomes import InterruptedStepError, NotStartedError, StepError
+from worksramp.routing.identity import digest_of_key
 from worksramp.routing.limits import DEFAULT_RETRY_AFTER_SECONDS
 from worksramp.settings import ApiKey, KeyRole
 
@@ -116,9 +116,8 @@
     header = request.headers.get("authorization", "")
     if not header.startswith(BEARER_PREFIX):
         raise RequestError(UNAUTHORIZED, ErrorBody("denied", "a bearer key is required", "authorization"))
-    digest = hashlib.sha256(header[len(BEARER_PREFIX) :].encode()).hexdigest()
-    matches = [key for key in backend.settings.keys if hmac.compare_digest(key.sha256, digest)]
-    if not matches:
+    matches = _keys_by_digest(backend.settings.keys).get(digest_of_key(header[len(BEARER_PREFIX) :].encode()))
+    if matches is None:
         raise RequestError(UNAUTHORIZED, ErrorBody("denied", "the key is unknown", "authorization"))
     allowed = [key for key in matches if key.role in roles]
     if not allowed:
@@ -129,6 +128,15 @@
     return allowed[0]
 
 
+@functools.lru_cache(maxsize=1)
+def _keys_by_digest(keys: tuple[ApiKey, ...]) -> dict[str, list[ApiKey]]:
+    """Return the entries of the settings by the digest of their key; a key may have several roles."""
+    entries: dict[str, list[ApiKey]] = {}
+    for key in keys:
+        entries.setdefault(key.sha256, []).append(key)
+    return entries
+
+
 def require_ready(backend: GatewayBackend) -> None:
     """Reject a request while the node is starting or draining.
 
--- a/src/worksramp/rollout/batch_owner.py
+++ b/src/worksramp/rollout/batch_owner.py
@@ -24,6 +24,7 @@
 from worksramp.rollout.stage_clock import Stage, StageClock
 from worksramp.rollout.text_keeper import TextKeeper
 from worksramp.routing.failure_tracker import FailureTracker
+from worksramp.routing.identity import scoped_id
 from worksramp.routing.table import Route
 from worksramp.routing.worker_starts import RestartDetector
 
@@ -131,16 +132,19 @@
         item_ids = batch.header.item_ids
         indices = [index for index, item_id in enumerate(item_ids) if item_id not in batch.listed]
         items = await self._reader.items(batch, indices)
-        earlier = await self._reader.earlier_texts(item_ids[index] for index in indices)
+        earlier = await self._reader.earlier_texts(
+            batch.header.tenant, (item_ids[index] for index in indices)
+        )
         if batch.is_ended or self._is_stopping:
             return
         self.items.record_step_size(batch.header.model, len(item_ids))
         self._lister.open_batch(batch_id, batch.num_results)
         num_reused = 0
         for index, item in items.items():
-            kept = self._texts.kept_text(item.item_id) or earlier.get(item.item_id)
+            text_id = scoped_id(batch.header.tenant, item.item_id)
+            kept = self._texts.kept_text(text_id) or earlier.get(item.item_id)
             text = text_to_start_from(kept, batch, route)
-            carried = self._carried.pop_text(item.item_id)
+            carried = self._carried.pop_text(text_id)
             if carried is not None:
                 text = longer_text(text, text_to_start_from(carried.freeze(""), batch, route))
             work = ItemWork(
@@ -150,6 +154,7 @@
                 route=route,
                 submitted_at=batch.header.submitted_at,
                 min_version=batch.header.min_version,
+                tenant=batch.header.tenant,
                 text=text,
                 clock=StageClock(since=anyio.current_time()),
             )
--- a/src/worksramp/rollout/batch_reader.py
+++ b/src/worksramp/rollout/batch_reader.py
@@ -8,6 +8,7 @@
 from worksramp.coordination.value_store import ValuesUnavailableError
 from worksramp.rollout.batch_values import BatchValues
 from worksramp.rollout.batches import Batch, BatchItem, BatchLedger, GeneratedText
+from worksramp.routing.identity import scoped_id
 
 RETRY_DELAY_SECONDS = 0.1
 #: Waiting longer for a text of an earlier batch is not worthwhile; the item is generated again instead.
@@ -37,8 +38,8 @@
             await anyio.sleep(RETRY_DELAY_SECONDS)
         return {}
 
-    async def earlier_texts(self, item_ids: Iterable[str]) -> dict[str, GeneratedText]:
-        """Return complete texts of items that an earlier batch lists as completed.
+    async def earlier_texts(self, tenant: str, item_ids: Iterable[str]) -> dict[str, GeneratedText]:
+        """Return complete texts of items that an earlier batch of a tenant lists as completed.
 
         Returns:
             Texts by item id. Items without a completed result, or whose text cannot be read in time, are
@@ -47,7 +48,7 @@
         ledger = self._ledger
         positions: dict[str, list[int]] = {}
         for item_id in item_ids:
-            place = ledger.find_completed(item_id)
+            place = ledger.find_completed(scoped_id(tenant, item_id))
             if place is not None:
                 positions.setdefault(place[0], []).append(place[1])
         texts: dict[str, GeneratedText] = {}
--- a/src/worksramp/rollout/batch_run.py
+++ b/src/worksramp/rollout/batch_run.py
@@ -142,6 +142,7 @@
         min_version: oldest weight version that may generate an event.
         needs_one_version: all events must come from one weight version.
         urgency: urgency sent to the worker, None for the worker's default.
+        tenant: tenant whose batch holds the item, empty for none.
     """
 
     item: BatchItem
@@ -149,6 +150,7 @@
     min_version: int
     needs_one_version: bool
     urgency: int | None = None
+    tenant: str = ""
 
 
 def may_add(text: TextBuilder, version: int, spec: RunSpec) -> bool:
@@ -175,6 +177,7 @@
         body=spec.item.body,
         resume_after=text.last_event_id,
         urgency=spec.urgency,
+        tenant=spec.tenant,
     )
 
 
--- a/src/worksramp/rollout/batch_service.py
+++ b/src/worksramp/rollout/batch_service.py
@@ -23,6 +23,7 @@
     record_of_end,
     record_of_header,
 )
+from worksramp.routing.identity import scoped_id
 
 MAX_PAGE_BYTES = 900_000
 REASON_PARTITIONED = "store_not_heard"
@@ -140,6 +141,23 @@
         self._replica = replica
         self._times = times
 
+    def id_for(self, tenant: str, name: str) -> str:
+        """Return the id under which a tenant's batch is stored.
+
+        A batch that was submitted without a tenant is found by the callers of all tenants.
+
+        Args:
+            name: id that the caller chose.
+        """
+        own_id, shared_id = scoped_id(tenant, name), scoped_id("", name)
+        if own_id not in self._ledger.batches and shared_id in self._ledger.batches:
+            return shared_id
+        return own_id
+
+    def is_shared(self, name: str) -> bool:
+        """Return whether a batch of this name is known that was submitted without a tenant."""
+        return scoped_id("", name) in self._ledger.batches
+
     async def submit(
         self, header: BatchHeader, items: Iterable[BatchItem], retry_after_seconds: float
     ) -> Accepted | Refused | Undecided:
--- a/src/worksramp/rollout/batches.py
+++ b/src/worksramp/rollout/batches.py
@@ -11,6 +11,7 @@
 
 from worksramp.coordination.keyed_replica import Change
 from worksramp.coordination.shared_log import KeyedRecord
+from worksramp.routing.identity import scoped_id
 from worksramp.wire import decode, encode
 
 
@@ -26,6 +27,7 @@
         num_wanted_groups: number of complete groups that the trainer waits for.
         item_offsets: log offset of each item's record in the value partition.
         item_sizes_b: size of each item's record in bytes.
+        tenant: tenant that submitted the batch, empty for none.
     """
 
     batch_id: str
@@ -40,6 +42,7 @@
     num_wanted_groups: int = 0
     item_offsets: tuple[int, ...] = ()
     item_sizes_b: tuple[int, ...] = ()
+    tenant: str = ""
 
 
 class ScoringCall(msgspec.Struct, frozen=True, array_like=True):
@@ -224,9 +227,9 @@
         elif kind == "r":
             self._apply_result(batch_id, int(suffix), change.value)
 
-    def find_completed(self, item_id: str) -> tuple[str, int] | None:
+    def find_completed(self, text_id: str) -> tuple[str, int] | None:
         """Return the batch id and position under which an item is listed as completed, or None."""
-        place = self._completed.get(item_id)
+        place = self._completed.get(text_id)
         return None if place is None or place[0] not in self.batches else place
 
     def _apply_header(self, batch_id: str, value: bytes | None) -> None:
@@ -242,9 +245,12 @@
 
     def _delete_batch(self, batch_id: str) -> None:
         batch = self.batches.pop(batch_id, None)
-        for item_id in () if batch is None else batch.header.item_ids:
-            if self._completed.get(item_id, ("", 0))[0] == batch_id:
-                del self._completed[item_id]
+        if batch is None:
+            return
+        for item_id in batch.header.item_ids:
+            text_id = scoped_id(batch.header.tenant, item_id)
+            if self._completed.get(text_id, ("", 0))[0] == batch_id:
+                del self._completed[text_id]
 
     def _apply_end(self, batch_id: str, value: bytes | None) -> None:
         if value is None:
@@ -266,7 +272,7 @@
         batch.results[position] = result
         batch.listed.add(result.item_id)
         if result.is_completed:
-            self._completed[result.item_id] = (batch_id, position)
+            self._completed[scoped_id(batch.header.tenant, result.item_id)] = (batch_id, position)
 
 
 def record_of_header(header: BatchHeader) -> KeyedRecord:
--- a/src/worksramp/rollout/carried_items.py
+++ b/src/worksramp/rollout/carried_items.py
@@ -46,16 +46,17 @@
             route=work.route,
             submitted_at=work.submitted_at,
             min_version=version,
+            tenant=work.tenant,
             text=text,
             carried_until=now + START_WINDOW_SHARE * self._context.cancel_s,
             clock=StageClock(since=now),
         )
-        self._works[work.item.item_id] = carried
+        self._works[work.text_id] = carried
         self._items.works[work.key] = carried
 
-    def pop_text(self, item_id: str) -> TextBuilder | None:
+    def pop_text(self, text_id: str) -> TextBuilder | None:
         """Stop a carried item and return its text, or None if the item is not carried."""
-        carried = self._works.pop(item_id, None)
+        carried = self._works.pop(text_id, None)
         if carried is None:
             return None
         # The run that is cancelled here may still add an event to its own text.
@@ -63,7 +64,7 @@
         self._discard(carried)
         logger.info(
             "carried_item_taken",
-            item_id=item_id,
+            item_id=carried.item.item_id,
             num_events=len(text.pieces),
             versions=",".join(map(str, text.versions)),
         )
@@ -72,10 +73,10 @@
     def discard_expired(self) -> None:
         """Discard items that are done, or that no batch has resubmitted within the target time of a step."""
         now = anyio.current_time()
-        for item_id, carried in list(self._works.items()):
+        for text_id, carried in list(self._works.items()):
             is_expired = now > (carried.carried_until or 0.0) + carried.route.target_seconds
             if is_expired or carried.is_done:
-                del self._works[item_id]
+                del self._works[text_id]
                 self._discard(carried)
 
     def _discard(self, carried: ItemWork) -> None:
--- a/src/worksramp/rollout/item_lister.py
+++ b/src/worksramp/rollout/item_lister.py
@@ -75,5 +75,5 @@
         position = self._next_positions[batch_id]
         self._next_positions[batch_id] = position + 1
         self._results.put(batch_id, position, result)
-        self._texts.discard(work.item.item_id)
+        self._texts.discard(work.text_id)
         self._context.on_listed(age_s)
--- a/src/worksramp/rollout/item_runner.py
+++ b/src/worksramp/rollout/item_runner.py
@@ -96,6 +96,7 @@
             work.min_version,
             work.route.needs_one_version,
             CARRIED_URGENCY if work.is_carried else None,
+            work.tenant,
         )
 
         def record_event() -> None:
--- a/src/worksramp/rollout/item_scorer.py
+++ b/src/worksramp/rollout/item_scorer.py
@@ -193,7 +193,9 @@
         state.begin(running)
         try:
             with call.scope:
-                answer = await call_scorer(self._context.port, state.entry, scoring_call, deadline_s)
+                answer = await call_scorer(
+                    self._context.port, state.entry, scoring_call, deadline_s, work.tenant
+                )
                 outcome = answer.outcome
                 if answer.load is not None:
                     state.reported_running, state.reported_waiting = (
--- a/src/worksramp/rollout/item_work.py
+++ b/src/worksramp/rollout/item_work.py
@@ -7,6 +7,7 @@
 from worksramp.rollout.batch_run import TextBuilder
 from worksramp.rollout.batches import Batch, BatchItem, GeneratedText
 from worksramp.rollout.stage_clock import StageClock
+from worksramp.routing.identity import scoped_id
 from worksramp.routing.table import Route
 
 ItemKey = tuple[str, int]
@@ -101,6 +102,7 @@
     """One item that is not listed as a result yet, and all that its owner records of it.
 
     Attributes:
+        tenant: tenant whose batch holds the item, empty for none.
         min_version: oldest weight version that may generate its text.
         avoided: workers that it must not be assigned to, each until a time.
         wait_until: it is not assigned to a worker before this time.
@@ -120,6 +122,7 @@
     submitted_at: float
     min_version: int
     text: TextBuilder
+    tenant: str = ""
     run: Run | None = None
     avoided: dict[str, float] = field(default_factory=dict)
     wait_until: float = float("-inf")
@@ -132,6 +135,11 @@
     clock: StageClock = field(default_factory=StageClock)
     carried_until: float | None = None
 
+    @property
+    def text_id(self) -> str:
+        """Id under which its text is kept; an item of another tenant has another one."""
+        return scoped_id(self.tenant, self.item.item_id)
+
     @property
     def is_carried(self) -> bool:
         """Whether the item runs on after the end of its batch."""
--- a/src/worksramp/rollout/scoring_call.py
+++ b/src/worksramp/rollout/scoring_call.py
@@ -80,7 +80,7 @@
 
 
 async def call_scorer(
-    port: WorkerPort, worker: WorkerEntry, call: ScoringCall, deadline_s: float
+    port: WorkerPort, worker: WorkerEntry, call: ScoringCall, deadline_s: float, tenant: str = ""
 ) -> ScoringAnswer:
     """Send a scoring call to a worker and read the complete answer.
 
@@ -89,9 +89,10 @@
 
     Args:
         deadline_s: deadline in seconds that is sent to the worker.
+        tenant: tenant whose batch holds the item, empty for none.
     """
     try:
-        async with port.send(worker, _request(call, deadline_s)) as answer:
+        async with port.send(worker, _request(call, deadline_s, tenant)) as answer:
             if answer.status // 100 == 2:
                 # The signature counts only once the body is complete.
                 async for _ in answer.body:
@@ -108,7 +109,7 @@
     return fingerprint_of(METHOD, call.host.encode("latin-1"), call.target.encode("latin-1"), call.body)
 
 
-def _request(call: ScoringCall, deadline_s: float) -> WorkerRequest:
+def _request(call: ScoringCall, deadline_s: float, tenant: str) -> WorkerRequest:
     return WorkerRequest(
         request_id=call.call_id,
         method=METHOD,
@@ -116,6 +117,7 @@
         headers=((b"host", call.host.encode("latin-1")),),
         body=call.body,
         deadline_seconds=deadline_s,
+        tenant=tenant,
     )
 
 
--- a/src/worksramp/rollout/text_keeper.py
+++ b/src/worksramp/rollout/text_keeper.py
@@ -17,6 +17,7 @@
 from worksramp.rollout.item_work import ItemWork
 from worksramp.rollout.open_items import OpenItems
 from worksramp.rollout.owner_context import OwnerContext
+from worksramp.routing.identity import scoped_id
 from worksramp.wire import decode, encode
 
 CHECKPOINT_SECONDS = 0.4
@@ -42,9 +43,9 @@
         self._items = items
         #: Texts of items whose batch has ended; a later batch may contain the item again.
         self._of_ended_batches: OrderedDict[str, GeneratedText] = OrderedDict()
-        #: Encoded texts that former owners stored, by item id.
+        #: Encoded texts that former owners stored, by `ItemWork.text_id`.
         self._from_former_owners: dict[str, bytes] = {}
-        #: Ids of items that may have a text in the store.
+        #: Text ids of items that may have a text in the store.
         self._stored: set[str] = set()
         #: Values to write, by key; an empty value deletes its key.
         self._unwritten: dict[str, bytes] = {}
@@ -61,28 +62,28 @@
         self._from_former_owners = {key.removeprefix(KEY_PREFIX): value for key, value in values.items()}
         self._stored = set(self._from_former_owners)
 
-    @mechanism("kept_texts", without=lambda keeper, item_id: None)
-    def kept_text(self, item_id: str) -> GeneratedText | None:
+    @mechanism("kept_texts", without=lambda keeper, text_id: None)
+    def kept_text(self, text_id: str) -> GeneratedText | None:
         """Return the text of an item from an earlier batch or a former owner, None if there is none."""
-        ended_text = self._of_ended_batches.get(item_id)
-        if ended_text is not None or item_id not in self._from_former_owners:
+        ended_text = self._of_ended_batches.get(text_id)
+        if ended_text is not None or text_id not in self._from_former_owners:
             return ended_text
-        return decode(self._from_former_owners[item_id], GeneratedText)
+        return decode(self._from_former_owners[text_id], GeneratedText)
 
     def keep_for_later_batch(self, work: ItemWork) -> None:
         """Keep the text of an item whose batch has ended; a later batch may contain the item again."""
         self.checkpoint_item(work, min_new_events=1)
-        self._of_ended_batches[work.item.item_id] = work.text.freeze(work.key[0])
+        self._of_ended_batches[work.text_id] = work.text.freeze(work.key[0])
         while len(self._of_ended_batches) > MAX_TEXTS_OF_ENDED_BATCHES:
             self._of_ended_batches.popitem(last=False)
 
-    def discard(self, item_id: str) -> None:
+    def discard(self, text_id: str) -> None:
         """Discard the text of an item that is listed, or whose batch has expired."""
-        self._of_ended_batches.pop(item_id, None)
-        self._from_former_owners.pop(item_id, None)
-        if item_id in self._stored:
-            self._stored.discard(item_id)
-            self._unwritten[KEY_PREFIX + item_id] = b""
+        self._of_ended_batches.pop(text_id, None)
+        self._from_former_owners.pop(text_id, None)
+        if text_id in self._stored:
+            self._stored.discard(text_id)
+            self._unwritten[KEY_PREFIX + text_id] = b""
 
     async def checkpoint_forever(self) -> None:
         """Write texts with enough new events every `CHECKPOINT_SECONDS`, until cancelled."""
@@ -112,8 +113,8 @@
         if len(value) > self._context.max_record_bytes // 2:
             return
         work.num_checkpointed = num_events
-        self._stored.add(work.item.item_id)
-        self._unwritten[KEY_PREFIX + work.item.item_id] = value
+        self._stored.add(work.text_id)
+        self._unwritten[KEY_PREFIX + work.text_id] = value
 
     async def flush(self) -> None:
         """Write the marked texts; those that could not be written remain marked for the next call."""
@@ -146,9 +147,10 @@
         )
         if isinstance(outcome, NotStored):
             return
-        open_items = {work.item.item_id for work in self._items.works.values()}
+        open_texts = {work.text_id for work in self._items.works.values()}
         for item_id in batch.header.item_ids:
-            if item_id not in open_items:
-                self.discard(item_id)
+            text_id = scoped_id(batch.header.tenant, item_id)
+            if text_id not in open_texts:
+                self.discard(text_id)
         self._context.writer.put(*batch_tombstones(batch))
         logger.info("batch_forgotten", batch_id=batch_id)
--- a/src/worksramp/routing/attempts.py
+++ b/src/worksramp/routing/attempts.py
@@ -42,6 +42,7 @@
         request_id: id set by the caller; a retry by the caller has another one.
         deadline_at: when the caller stops waiting, on this node's clock.
         resume_after: id of the last event the caller has received, None for a new stream.
+        tenant: tenant of the caller, empty for none.
         fingerprint: digest that is the same for all retries of the request, at any node.
     """
 
@@ -53,6 +54,7 @@
     received_at: float
     deadline_at: float
     resume_after: str | None = None
+    tenant: str = ""
     fingerprint: str = field(init=False, compare=False)
 
     def __post_init__(self) -> None:
@@ -245,4 +247,5 @@
         body=request.body,
         deadline_seconds=max(MIN_WORKER_DEADLINE_SECONDS, ends_at - anyio.current_time()),
         resume_after=request.resume_after,
+        tenant=request.tenant,
     )
--- a/src/worksramp/routing/forward.py
+++ b/src/worksramp/routing/forward.py
@@ -112,6 +112,7 @@
             "request_forwarded",
             request_id=request.request_id,
             fingerprint=request.fingerprint,
+            tenant=request.tenant,
             route=route.name,
             outcome=type(outcome).__name__,
             status=getattr(outcome, "status", 0),
--- a/src/worksramp/routing/table.py
+++ b/src/worksramp/routing/table.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
+from worksramp.routing.identity import Tenants
+
 
 class RouteKind(StrEnum):
     """Kind of a route's requests, which decides whether they may be repeated."""
@@ -35,6 +37,7 @@
         needs_one_version: whether all text of an item must come from one weight version.
         keep_seconds: age of a batch at which its items may be given up.
         target_seconds: age of a batch at which its results are due.
+        is_public: whether callers need no API key.
     """
 
     name: str
@@ -50,6 +53,7 @@
     needs_one_version: bool = False
     keep_seconds: float = 60.0
     target_seconds: float = 10.0
+    is_public: bool = False
 
     @property
     def may_repeat(self) -> bool:
@@ -98,12 +102,13 @@
 
 @dataclass(frozen=True, slots=True)
 class RouteTable:
-    """Routes, services and limits of one configuration version, which is in force as a whole."""
+    """Routes, services, tenants and limits of one configuration version, which is in force as a whole."""
 
     version: int
     routes: tuple[Route, ...]
     services: dict[str, ServiceSpec]
     limits: CallerLimits = field(default_factory=CallerLimits)
+    tenants: Tenants = field(default_factory=Tenants)
     _index: dict[tuple[str, str], Route] = field(init=False, repr=False, compare=False)
 
     def __post_init__(self) -> None:
--- a/src/worksramp/routing/worker_port.py
+++ b/src/worksramp/routing/worker_port.py
@@ -22,6 +22,7 @@
         deadline_seconds: time left for the worker, None for no deadline.
         resume_after: id of the last event already received, None to start from the beginning.
         urgency: 0 (most urgent) to 9, None for the worker's default.
+        tenant: tenant of the caller, empty for none.
     """
 
     request_id: str
@@ -32,6 +33,7 @@
     deadline_seconds: float | None = None
     resume_after: str | None = None
     urgency: int | None = None
+    tenant: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/worksramp_emulator/batch_fleet.py
+++ b/src/worksramp_emulator/batch_fleet.py
@@ -119,6 +119,7 @@
 
     Attributes:
         runs: runs of items as (time, calling node, worker id, item id).
+        requests: every request that reached a running worker.
         emitted_versions: weight versions that emitted an event, by item id and event number.
         emitted_at: times and weight versions at which an event was emitted, by item id and event number.
     """
@@ -128,6 +129,7 @@
         self.orders: list[ReceivedOrder] = []
         self.runs: list[tuple[float, str, str, str]] = []
         self.calls: list[ReceivedCall] = []
+        self.requests: list[WorkerRequest] = []
         self.emitted_versions: dict[tuple[str, int], set[int]] = {}
         self.emitted_at: dict[tuple[str, int], list[tuple[float, int]]] = {}
         self.application = ApplicationRecord()
@@ -211,6 +213,7 @@
         if target.num_running >= target.entry.num_slots or target.loading == self._model:
             yield self._answer(503, target, request, is_not_run=True)
             return
+        self._fleet.requests.append(request)
         if target.is_application:
             async with serve_live_request(self._fleet.application, target, self._node, request) as answer:
                 yield answer
