--- a/src/worksramp/coordination/configuration_service.py
+++ b/src/worksramp/coordination/configuration_service.py
@@ -24,7 +24,12 @@
 from worksramp.coordination.membership import Membership
 from worksramp.coordination.membership_messages import Member
 from worksramp.coordination.peers import PeerCaller
-from worksramp.coordination.replication import StagedRecords, num_copies_needed, num_replies_needed
+from worksramp.coordination.replication import (
+    StagedRecords,
+    num_copies_needed,
+    num_replies_needed,
+    peers_to_push_to,
+)
 from worksramp.outcomes import StepError
 from worksramp.transport.messages import (
     ConfigurationHeld,
@@ -217,12 +222,10 @@
             self._apply_replicated()
 
     async def _push_to_some(self) -> None:
-        """Push the records that are not in force yet to a few random peers."""
+        """Push the records that are not in force yet to a few peers that lack them."""
         live = self._live_ids()
         self._staged.discard_dead(live)
-        peers = self._peers.live_peers()
-        self._rng.shuffle(peers)
-        chosen = peers[:PUSH_FANOUT]
+        chosen = peers_to_push_to(self._peers.live_peers(), self._staged, PUSH_FANOUT, self._rng)
         has_reply = [False]
 
         async def push(member: Member) -> None:
--- a/src/worksramp/coordination/keyed_replica.py
+++ b/src/worksramp/coordination/keyed_replica.py
@@ -198,7 +198,8 @@
             self._apply(record)
         if answer.records:
             self.position = max(self.position, answer.records[-1].offset + 1)
-        if answer.end <= self.position:
+        # An answer that ends earlier comes from a copy of the store that lags behind this one.
+        if answer.end == self.position:
             self._confirmed_at = started
         self._notify_changed()
         return bool(answer.records)
--- a/src/worksramp/coordination/ledger_service.py
+++ b/src/worksramp/coordination/ledger_service.py
@@ -10,6 +10,7 @@
 
 import anyio
 import anyio.abc
+import structlog
 import xxhash
 
 from worksramp.backends.base import ApplicationReply
@@ -40,6 +41,7 @@
 from worksramp.transport.messages import ExecuteOnce, NodeReply, NodeRequest, NotOwner, to_execute_reply
 
 RETRY_AFTER_SECONDS = 2.0
+RECORD_RETRY_S = 0.1
 COMMIT_SHARE_OF_DEADLINE = 0.5
 LEDGER_RETENTION_MS = 24 * 3600 * 1000
 EXPIRY_PERIOD_SECONDS = 600.0
@@ -49,6 +51,8 @@
 WallClockMs = Callable[[], int]
 Closing = Refusal | Doubt | Result
 
+logger = structlog.get_logger()
+
 
 @dataclass(slots=True)
 class Running:
@@ -205,11 +209,21 @@
         return Completed(reply.status, reply.body), result
 
     async def _record(self, closing: Closing) -> None:
-        """Record the outcome of a request; if ownership was lost, the next owner treats it as unknown."""
-        try:
-            await self._replica.commit(encode_entry(closing), should_wait_for_log=True)
-        except StepError:
-            return
+        """Record the outcome of a request; if ownership was lost, the next owner treats it as unknown.
+
+        An entry that was not taken because too many wait is tried again: without it, the outcome of a request
+        that has ended would become unknown.
+        """
+        while self._replica.is_owner:
+            try:
+                await self._replica.commit(encode_entry(closing), should_wait_for_log=True)
+                return
+            except NotStartedError as error:
+                logger.warning("ledger_record_waits", reason=error.reason)
+            except StepError as error:
+                logger.warning("ledger_record_unknown", reason=error.reason)
+                return
+            await anyio.sleep(RECORD_RETRY_S)
 
 
 def _outcome_of(row: LedgerRow) -> ExecutionOutcome | None:
--- a/src/worksramp/coordination/peers.py
+++ b/src/worksramp/coordination/peers.py
@@ -1,5 +1,6 @@
 """Calls to other nodes found through membership: to one member, or to the owner of a shard."""
 
+import anyio
 import msgspec
 
 from worksramp.coordination.membership import Membership
@@ -45,6 +46,9 @@
     async def call_owner(self, shard: str, request: NodeRequest, timeout_seconds: float) -> NodeReply:
         """Call the owner of a shard: first the preferred node, then the owner that a node names.
 
+        Args:
+            timeout_seconds: time for all calls together.
+
         Raises:
             NotStartedError: no owner was found, and no node acted on the request.
             InterruptedStepError: an owner may have acted on it.
@@ -52,6 +56,7 @@
         candidates = rendezvous_order(shard, self._membership.eligible(COORDINATOR_ROLE))
         addresses = [member.address for member in map(self._membership.member, candidates) if member]
         asked: set[str] = set()
+        deadline = anyio.current_time() + timeout_seconds
         failure = NotStartedError("peers.call_owner", shard, "no coordinator is known")
         while addresses and len(asked) < MAX_REDIRECTS:
             address = addresses.pop(0)
@@ -59,9 +64,11 @@
                 continue
             asked.add(address)
             try:
-                reply = await self.call(address, request, timeout_seconds)
+                reply = await self.call(address, request, deadline - anyio.current_time())
             except NotStartedError as error:
                 failure = error
+                if anyio.current_time() >= deadline:
+                    break
                 continue
             if not isinstance(reply, NotOwner):
                 return reply
--- a/src/worksramp/coordination/replication.py
+++ b/src/worksramp/coordination/replication.py
@@ -9,6 +9,11 @@
     docs/design/configuration.md, "Starting while the log is down"
 """
 
+import random
+from collections.abc import Sequence
+
+from worksramp.coordination.membership_messages import Member
+
 NUM_COPIES = 3
 
 
@@ -77,6 +82,10 @@
         """Return how many live nodes are known to hold the record, this one included."""
         return 1 + sum(1 for key, held in self._held_by.items() if held > offset and key in live)
 
+    def held_below(self, instance_id: str) -> int:
+        """Return the offset below which a node is known to hold everything, -1 if nothing is known."""
+        return self._held_by.get(instance_id, -1)
+
     def discard_dead(self, live: frozenset[str]) -> None:
         """Discard what is recorded of nodes that are no longer live."""
         self._held_by = {key: held for key, held in self._held_by.items() if key in live}
@@ -87,3 +96,15 @@
         if num_discarded > 0:
             del self._records[:num_discarded]
             self._start += num_discarded
+
+
+def peers_to_push_to(
+    peers: Sequence[Member], staged: StagedRecords, num_peers: int, rng: random.Random
+) -> list[Member]:
+    """Return the peers to push records to: those that are known to hold the least, in random order.
+
+    Load pattern: many nodes, of which a few already hold the newest record. Pushing to those again would put
+    the record in force no sooner.
+    """
+    shuffled = rng.sample(list(peers), len(peers))
+    return sorted(shuffled, key=lambda peer: staged.held_below(peer.instance_id))[:num_peers]
--- a/src/worksramp/node/node.py
+++ b/src/worksramp/node/node.py
@@ -216,7 +216,7 @@
         """Send a request to the owner of its shard, which may be this node, and return the reply.
 
         Args:
-            seconds: timeout of each call; several nodes may be called in turn.
+            seconds: time for all calls together; several nodes may be called in turn.
 
         Raises:
             NotStartedError: no owner was found, and no node started the request.
--- a/src/worksramp/step_report.py
+++ b/src/worksramp/step_report.py
@@ -151,7 +151,8 @@
         grace_s: seconds after the target in which a group still counts as in time.
     """
     rows = [
-        "step   batch             taken at           groups lost  last of them: item, age, seconds in stages"
+        f"{'step':6} {'batch':17} {'asked':8} {'taken':14} {'groups':>6} {'lost':>4} {'whole':>6}"
+        "  last of them: item, seconds in stages"
     ]
     causes: Counter[str] = Counter()
     stage_sums: defaultdict[str, float] = defaultdict(float)
@@ -176,8 +177,8 @@
 def _row(step: LoggedStep, lost: list[ItemEnd]) -> str:
     taken = ",".join(f"{age_s:.1f}" for age_s in step.taken_at_s)
     row = (
-        f"{step.step:6} {step.batch_id:17} {step.asked_at:8} {taken:14} {step.num_wanted_groups:5} "
-        f"{len(lost):4} {step.complete_s:5.1f}"
+        f"{step.step:6} {step.batch_id:17} {step.asked_at:8} {taken:14} {step.num_wanted_groups:6} "
+        f"{len(lost):4} {step.complete_s:6.1f}"
     )
     if not lost:
         return row
--- a/tests/unit/test_keyed_replica.py
+++ b/tests/unit/test_keyed_replica.py
@@ -6,7 +6,7 @@
 import pytest
 
 from worksramp.coordination.keyed_replica import Change, KeyedReplica
-from worksramp.coordination.shared_log import KeyedRecord, Partition
+from worksramp.coordination.shared_log import KeyedRecord, Partition, RecordsGone, RecordsRead
 from worksramp_emulator.shared_log import LogClient, LogStore
 from worksramp_emulator.simulation.clock import run_simulated
 
@@ -77,3 +77,35 @@
             group.cancel_scope.cancel()
 
     run_simulated(main, 1)
+
+
+class LaggingLog(LogClient):
+    """Log whose reads are answered by a copy that lacks the newest records while it lags."""
+
+    is_lagging = False
+
+    async def read(
+        self, partition: Partition, start: int, wait_seconds: float, max_bytes: int | None = None
+    ) -> RecordsRead | RecordsGone:
+        if not self.is_lagging:
+            return await super().read(partition, start, wait_seconds, max_bytes)
+        await anyio.sleep(0.01)
+        return RecordsRead((), start - 1)
+
+
+def test_an_answer_that_ends_before_the_copy_confirms_nothing() -> None:
+    async def main() -> None:
+        async with anyio.create_task_group() as group:
+            store = LogStore(random.Random(1), group)
+            put(store, "first")
+            log = LaggingLog(store, "node")
+            replica = KeyedReplica(log, PARTITION, 0.1, lambda change: None)
+            group.start_soon(replica.follow)
+            await anyio.sleep(1.0)
+            assert replica.confirmed_age() < 0.3
+            log.is_lagging = True
+            await anyio.sleep(2.0)
+            assert replica.confirmed_age() >= 1.9
+            group.cancel_scope.cancel()
+
+    run_simulated(main, 1)
--- a/tests/unit/test_ledger.py
+++ b/tests/unit/test_ledger.py
@@ -1,9 +1,14 @@
 """The ledger's fold."""
 
+from typing import Any
+
+import anyio
 import msgspec
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from worksramp.backends.base import ApplicationReply
+from worksramp.coordination.fold import Accepted
 from worksramp.coordination.ledger import (
     Doubt,
     Forget,
@@ -16,6 +21,11 @@
     canonical_key,
     key_time_ms,
 )
+from worksramp.coordination.ledger_service import LedgerService
+from worksramp.coordination.peers import encode_entry
+from worksramp.outcomes import Completed, NotStartedError
+from worksramp.transport.messages import ExecuteOnce
+from worksramp_emulator.simulation.clock import run_simulated
 
 UUIDS = [f"0190a1b2-c3d{digit}-7000-8000-000000000001" for digit in range(4)]
 KEYS = [canonical_key("tenant", key) for key in UUIDS]
@@ -91,3 +101,44 @@
         if reason is None and isinstance(entry, Refusal):
             may_have_run[entry.key] -= 1
         assert all(count <= 1 for count in may_have_run.values())
+
+
+class CrowdedReplica:
+    """Replica of an owner whose queue of entries is full for a while."""
+
+    is_owner = True
+    stream = "ledger-0"
+
+    def __init__(self, num_full: int) -> None:
+        self.num_full = num_full
+        self.state = LedgerState()
+        self.committed: list[bytes] = []
+
+    async def commit(
+        self, entry: bytes, timeout_seconds: float | None = None, should_wait_for_log: bool = False
+    ) -> Accepted:
+        if should_wait_for_log and self.num_full > 0:
+            self.num_full -= 1
+            raise NotStartedError("log.commit", self.stream, "too many entries wait for the log")
+        self.committed.append(entry)
+        return Accepted(0)
+
+
+def test_the_outcome_of_a_request_is_recorded_although_too_many_entries_wait_at_first() -> None:
+    """Otherwise its intent stays open, and a retry is told that the outcome is unknown."""
+
+    async def main() -> list[bytes]:
+        replica: Any = CrowdedReplica(num_full=3)
+
+        async def dispatch(request: ExecuteOnce) -> ApplicationReply:
+            return ApplicationReply(200, b"done")
+
+        async with anyio.create_task_group() as group:
+            service = LedgerService(replica, dispatch, group, lambda: 0)
+            request = ExecuteOnce("ledger-0", "key", "shop", "POST", "/x", b"", 1.0)
+            assert isinstance(await service.execute(request), Completed)
+        committed: list[bytes] = replica.committed
+        return committed
+
+    committed = run_simulated(main, 1)
+    assert committed[-1] == encode_entry(Result("key", 200, b"done"))
