--- a/src/worksramp/duties/holder.py
+++ b/src/worksramp/duties/holder.py
@@ -21,7 +21,6 @@
 from worksramp.duties.usage_reporter import UsageReporter
 from worksramp.duties.wall_time import WallTime
 from worksramp.rollout.owner_context import TableSource
-from worksramp.routing.fleet_view import FleetWork
 from worksramp.routing.workers import WorkerDirectory
 
 logger = structlog.get_logger()
@@ -76,12 +75,8 @@
         """Apply a change of the shard's partition and return whether it concerned a duty."""
         return self.reports.apply(change) or self.baselines.apply(change)
 
-    async def run(self, writer: FencedWriter, work: FleetWork) -> None:
-        """Carry out the duties under a lease that was just won, until cancelled.
-
-        Args:
-            work: open work of the fleet, from which the need for workers follows.
-        """
+    async def run(self, writer: FencedWriter) -> None:
+        """Carry out the duties under a lease that was just won, until cancelled."""
         context = self.context
         context.guard.begin_tenure()
         tenure = _Tenure(context, writer)
@@ -89,7 +84,7 @@
             if context.usage_times is not None:
                 group.start_soon(self._reporter(tenure, context.usage_times).run)
             if context.has_scaling:
-                group.start_soon(self._scaler(tenure, work).run)
+                group.start_soon(self._scaler(tenure).run)
 
     def _reporter(self, tenure: "_Tenure", times: UsageTimes) -> UsageReporter:
         context = self.context
@@ -103,12 +98,11 @@
             put=tenure.writer.put,
         )
 
-    def _scaler(self, tenure: "_Tenure", work: FleetWork) -> Scaler:
+    def _scaler(self, tenure: "_Tenure") -> Scaler:
         context = self.context
         return Scaler(
             directory=context.directory,
             table=context.table,
-            work=work,
             baselines=self.baselines,
             call=tenure.set_worker_count,
             view_age_s=context.workers_age_s,
--- a/src/worksramp/duties/scaler.py
+++ b/src/worksramp/duties/scaler.py
@@ -11,7 +11,6 @@
 from worksramp.duties.port import DutyDone, DutyOutcome, DutyRefused, WorkerCount
 from worksramp.duties.scaling import (
     PoolKey,
-    StepDemand,
     ZoneBaseline,
     ZoneBaselines,
     ZonePool,
@@ -20,7 +19,6 @@
     targets,
 )
 from worksramp.rollout.owner_context import TableSource
-from worksramp.routing.fleet_view import FleetWork
 from worksramp.routing.table import ScalingLimits
 from worksramp.routing.workers import WorkerDirectory
 
@@ -39,7 +37,6 @@
     """Orders workers by the decisions of `worksramp.duties.scaling`.
 
     Attributes:
-        work: open work of the fleet.
         call: makes a call if this node may act, else returns None.
         view_age_s: returns the age of the entries' last confirmation.
         store_recovery_age_s: returns the seconds since the store was available again.
@@ -48,7 +45,6 @@
 
     directory: WorkerDirectory
     table: TableSource
-    work: FleetWork
     baselines: ZoneBaselines
     call: Callable[[WorkerCount], Awaitable[DutyOutcome | None]]
     view_age_s: Callable[[], float]
@@ -76,21 +72,12 @@
     async def _scale(self, service: str, limits: ScalingLimits) -> None:
         pools = self._update_pools(service)
         now = anyio.current_time()
-        wanted = targets(pools, self._demand(service), limits, now)
+        wanted = targets(pools, limits, now)
         for pool in pools:
             order = decide_count(pool, wanted[pool.zone], limits, now)
             if order is not None:
                 await self._order(pool, order)
 
-    def _demand(self, service: str) -> StepDemand:
-        table = self.table.current
-        spec = None if table is None else table.services.get(service)
-        if spec is None:
-            return StepDemand()
-        models = self.work.view().models
-        num_items = sum(models[model].num_step_items for model in spec.models if model in models)
-        return StepDemand(num_items, spec.num_slots)
-
     def _update_pools(self, service: str) -> list[ZonePool]:
         """Return the zones of a service with their present workers; those without a baseline are left out."""
         usable = self.directory.usable(service)
@@ -136,7 +123,6 @@
             num_live=pool.num_live,
             num_spot=pool.num_spot,
             num_baseline=pool.num_baseline,
-            num_step_items=self._demand(order.service).num_items,
             view_age_s=round(self.view_age_s(), 3),
             outcome=type(outcome).__name__,
             reason="" if isinstance(outcome, DutyDone) else getattr(outcome, "reason", ""),
--- a/src/worksramp/duties/scaling.py
+++ b/src/worksramp/duties/scaling.py
@@ -1,15 +1,9 @@
 """Decides how many workers each zone of a service is to have.
 
-Load pattern: the items of a step arrive at once and the trainer waits for the longest of them. Where a step
-needs more slots than there are, or other steps hold them, long items wait or share a crowded worker, and the
-step is late by that. A worker second is cheap beside a late step, so the fleet is sized by the largest steps
-that come together, not by the mean load.
-
 The state is small: the number that each zone had when the service was first seen, which is a record of the
 shard, and what the workers' entries show now.
 """
 
-import math
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
@@ -18,7 +12,6 @@
 from worksramp.coordination.keyed_replica import Change
 from worksramp.coordination.shared_log import KeyedRecord
 from worksramp.duties.port import WorkerCount
-from worksramp.mechanisms import mechanism
 from worksramp.routing.table import ScalingLimits
 from worksramp.wire import decode, encode
 
@@ -62,30 +55,6 @@
     return KeyedRecord(f"{BASELINE_PREFIX}{baseline.service}/{baseline.zone}", encode(baseline))
 
 
-@dataclass(frozen=True, slots=True)
-class StepDemand:
-    """What the steps of all models of a service need at once.
-
-    Attributes:
-        num_items: items of the largest recent step of each model, together.
-        num_slots: slots of a worker; 0 if not known.
-    """
-
-    num_items: int = 0
-    num_slots: int = 0
-
-    @property
-    def num_workers(self) -> int:
-        """Workers that run all these items at the same time, 0 if that is not known."""
-        return math.ceil(self.num_items / self.num_slots) if self.num_slots > 0 else 0
-
-
-@mechanism("workers_for_whole_steps", without=lambda demand, num_pools: 0)
-def _share_of_steps(demand: StepDemand, num_pools: int) -> int:
-    """Return how many workers each zone needs so that the steps of all models run at the same time."""
-    return math.ceil(demand.num_workers / max(1, num_pools))
-
-
 @dataclass(slots=True)
 class ZonePool:
     """Workers of one service in one zone, as its entries and the holder's calls show them.
@@ -120,24 +89,20 @@
         return now - self.refused_at < ASK_AGAIN_S
 
 
-def targets(
-    pools: Iterable[ZonePool], demand: StepDemand, limits: ScalingLimits, now: float
-) -> dict[str, int]:
+def targets(pools: Iterable[ZonePool], limits: ScalingLimits, now: float) -> dict[str, int]:
     """Return how many workers each zone of a service is to have, of both kinds together.
 
-    A zone keeps the number that it was first seen with, or its share of what the steps need, if that is more.
-    What a zone has lost and cannot replace now is ordered in the others, the cheapest first.
+    A zone keeps the number that it was first seen with. What a zone has lost and cannot replace now is
+    ordered in the others, the cheapest first.
 
     Load pattern: all workers of a zone that may be taken away leave at once, and for seconds the zone has no
     others to give.
     """
     ordered = sorted(pools, key=lambda pool: (limits.price(pool.zone), pool.zone))
     num_short = sum(pool.num_missing for pool in ordered if pool.is_dry(now))
-    num_for_steps = _share_of_steps(demand, len(ordered))
     wanted: dict[str, int] = {}
     for pool in ordered:
-        num_wanted = max(limits.min_workers, pool.num_baseline, num_for_steps)
-        wanted[pool.zone] = min(limits.max_workers, num_wanted)
+        wanted[pool.zone] = min(limits.max_workers, max(limits.min_workers, pool.num_baseline))
     for pool in ordered:
         if pool.is_dry(now):
             continue
--- a/src/worksramp/edge/shard.py
+++ b/src/worksramp/edge/shard.py
@@ -340,7 +340,7 @@
                 self.replica.gather_seconds = OWNER_GATHER_SECONDS
                 group.start_soon(mover.run)
                 if context.duties is not None:
-                    group.start_soon(context.duties.run, writer, owner.items)
+                    group.start_soon(context.duties.run, writer)
                 group.start_soon(self._cancel_when_lease_ends, writer, group.cancel_scope)
                 await owner.run()
         except* OwnershipLostError:
--- a/tests/unit/schedule_replay.py
+++ b/tests/unit/schedule_replay.py
@@ -1,6 +1,5 @@
 """Replays a load of items against the scheduling functions alone, without an owner, on a virtual clock."""
 
-import math
 import random
 from collections import defaultdict
 from dataclasses import dataclass, field
@@ -88,20 +87,11 @@
     pace: PaceTracker = field(default_factory=PaceTracker)
     num_moves: int = 0
 
-    def ask(
-        self,
-        name: str,
-        at: float,
-        num_groups: int,
-        source: random.Random,
-        min_version: int = 1,
-        most_hint_tokens: float = math.inf,
-    ) -> None:
+    def ask(self, name: str, at: float, num_groups: int, source: random.Random, min_version: int = 1) -> None:
         """Add a step of many short items and few very long ones, with estimates of their lengths."""
         for idx in range(num_groups * GROUP_SIZE):
             num_events = max(1, min(MAX_EVENTS, round(source.lognormvariate(2.7, 1.15))))
             hint = round(num_events * TOKENS_PER_EVENT * source.lognormvariate(0.0, 0.5))
-            hint = int(min(hint, most_hint_tokens))
             self.items.append(Item((name, idx), idx // GROUP_SIZE, at, num_events, hint, min_version))
 
     def run(self, until_s: float) -> None:
--- a/tests/unit/test_scaling.py
+++ b/tests/unit/test_scaling.py
@@ -4,15 +4,12 @@
 from worksramp.duties.scaling import (
     BOOT_MARGIN_S,
     SURPLUS_HOLD_S,
-    StepDemand,
     ZonePool,
     decide_count,
     targets,
 )
-from worksramp.mechanisms import MECHANISMS
 from worksramp.routing.table import ScalingLimits
 
-NO_STEPS = StepDemand()
 LIMITS = ScalingLimits(1, 15, boot_s=4.0, zone_prices={"x": 1.0, "y": 0.8, "z": 1.25})
 
 
@@ -20,8 +17,8 @@
     return {zone: ZonePool("fleet", zone, 8, num) for zone, num in live.items()}
 
 
-def orders(by_zone: dict[str, ZonePool], now: float, demand: StepDemand = NO_STEPS) -> dict[str, int]:
-    wanted = targets(by_zone.values(), demand, LIMITS, now)
+def orders(by_zone: dict[str, ZonePool], now: float) -> dict[str, int]:
+    wanted = targets(by_zone.values(), LIMITS, now)
     decided = [decide_count(pool, wanted[zone], LIMITS, now) for zone, pool in by_zone.items()]
     return {order.zone: order.num_workers for order in decided if order is not None}
 
@@ -61,23 +58,3 @@
 def test_workers_that_may_be_taken_away_count_towards_the_number_of_a_zone() -> None:
     pool = ZonePool("fleet", "x", 8, num_live=3, num_spot=4)
     assert decide_count(pool, 8, LIMITS, 0.0) == WorkerCount("fleet", "x", 4)
-
-
-def test_the_fleet_is_sized_so_that_the_steps_of_all_models_run_at_once() -> None:
-    """Load pattern: three models are asked for 112, 120 and 112 items in the same second, 24 workers of 8."""
-    step = StepDemand(num_items=344, num_slots=8)
-    assert orders(pools(x=8, y=8, z=8), 100.0, step) == {"x": 15, "y": 15, "z": 15}
-    assert orders(pools(x=8, y=8, z=8), 100.0, StepDemand(num_items=100, num_slots=8)) == {}
-    assert orders(pools(x=8, y=8, z=8), 100.0, StepDemand(num_items=240, num_slots=8)) == {
-        "x": 10,
-        "y": 10,
-        "z": 10,
-    }
-
-
-def test_without_that_mechanism_the_fleet_keeps_its_first_size() -> None:
-    MECHANISMS.switch_off(["workers_for_whole_steps"])
-    try:
-        assert orders(pools(x=8, y=8, z=8), 100.0, StepDemand(num_items=344, num_slots=8)) == {}
-    finally:
-        MECHANISMS.switch_off([])
