--- a/src/worksramp/duties/scaling.py
+++ b/src/worksramp/duties/scaling.py
@@ -116,9 +116,11 @@
     """Return the order to send for a zone now, None if there is none.
 
     An order states a number, so it is repeated while the zone lacks workers: it may have been lost, or an
-    earlier one may have been carried out after it.
+    earlier one may have been carried out after it. Workers that this holder did not order are never cut.
     """
     num_wanted = max(0, target - pool.num_spot)
+    if pool.num_live > max(num_wanted, pool.ordered or 0):
+        return None
     if pool.num_live > num_wanted:
         pool.surplus_since = now if pool.surplus_since is None else pool.surplus_since
         if now - pool.surplus_since < SURPLUS_HOLD_S:
--- a/tests/unit/test_scaling.py
+++ b/tests/unit/test_scaling.py
@@ -49,8 +49,16 @@
     assert orders(by_zone, 110.0) == {"y": 8}
 
 
+def test_workers_that_this_system_did_not_order_are_never_cut() -> None:
+    """Entries that appear late make the first number of a zone too low; its workers must not end for that."""
+    by_zone = pools(x=12, y=8, z=8)
+    assert orders(by_zone, 100.0) == {}
+    assert orders(by_zone, 101.0 + SURPLUS_HOLD_S) == {}
+
+
 def test_more_workers_than_needed_are_kept_for_a_while() -> None:
     by_zone = pools(x=12, y=8, z=8)
+    by_zone["x"].ordered = 12
     assert orders(by_zone, 100.0) == {}
     assert orders(by_zone, 100.0 + SURPLUS_HOLD_S) == {"x": 8}
 
