--- a/src/worksramp/rollout/item_scorer.py
+++ b/src/worksramp/rollout/item_scorer.py
@@ -154,9 +154,7 @@
                 service=service,
                 num_slots=state.entry.num_slots,
                 num_calls=num_calls.get(state.entry.worker_id, 0),
-                num_reported_waiting=state.reported_waiting
-                if now - state.load_reported_at < REPORTED_LOAD_VALID_S
-                else 0,
+                num_reported_waiting=_num_reported_waiting(state, now),
                 latency_s=state.latency_seconds,
                 is_failing=state.entry.worker_id in failing,
             )
@@ -198,11 +196,7 @@
                 )
                 outcome = answer.outcome
                 if answer.load is not None:
-                    state.reported_running, state.reported_waiting = (
-                        answer.load.num_running,
-                        answer.load.num_waiting,
-                    )
-                    state.load_reported_at = anyio.current_time()
+                    state.record_report(answer.load, anyio.current_time())
             if isinstance(outcome, ScoringLost) and outcome.is_connection_lost:
                 await quarantine.handle_broken_connection(state)
             elif isinstance(outcome, Scored | ScoringFailed | ScoringImpossible):
@@ -286,3 +280,10 @@
         self, outcome: ScoringImpossible, work: ItemWork, call: ScorerCall, now: float
     ) -> None:
         work.scoring.wait_until = now + IMPOSSIBLE_PAUSE_S
+
+
+def _num_reported_waiting(state: WorkerState, now: float) -> int:
+    """Return how many requests wait at a worker by its last report, 0 if that is too old."""
+    if state.reported is None or now - state.reported_at >= REPORTED_LOAD_VALID_S:
+        return 0
+    return state.reported.num_waiting
--- a/src/worksramp/rollout/scoring_call.py
+++ b/src/worksramp/rollout/scoring_call.py
@@ -4,8 +4,8 @@
 
 from worksramp.rollout.batches import Score, ScoringCall
 from worksramp.routing.fingerprint import fingerprint_of
+from worksramp.routing.worker_load import ReportedLoad
 from worksramp.routing.worker_port import (
-    ReportedLoad,
     WorkerAnswer,
     WorkerAnswerBrokenError,
     WorkerPort,
--- a/src/worksramp/routing/attempts.py
+++ b/src/worksramp/routing/attempts.py
@@ -10,15 +10,13 @@
 from worksramp.mechanisms import mechanism
 from worksramp.routing.fingerprint import HOST_HEADER, fingerprint_of
 from worksramp.routing.table import Route
+from worksramp.routing.worker_load import ReportedLoad, usual_latency_s
 from worksramp.routing.worker_port import HeaderList, WorkerAnswer, WorkerRequest
 from worksramp.routing.workers import WorkerDirectory, WorkerState
 
-REPORTED_LOAD_VALID_SECONDS = 1.0
 AVOID_AFTER_FAILURE_SECONDS = 0.5
 AVOID_AFTER_FULL_SECONDS = 0.1
 LATENCY_SMOOTHING = 0.2
-#: Assumed latency of a worker that has not answered yet; low, so that the worker is used soon.
-UNKNOWN_LATENCY_SECONDS = 0.01
 MIN_WORKER_DEADLINE_SECONDS = 0.001
 #: Load of the preferred worker, in requests per slot, from which other workers take some of its requests.
 SPILLOVER_LOAD = 0.4
@@ -157,7 +155,7 @@
         preferred, *others = sorted(healthy, key=self._affinity, reverse=True)
         if not others:
             return preferred
-        if preferred.estimated_load(now, REPORTED_LOAD_VALID_SECONDS) >= SPILLOVER_LOAD:
+        if preferred.load(now).requests_per_slot >= SPILLOVER_LOAD:
             drawn = self._rng.choice(others)
             return min((preferred, drawn), key=lambda worker: self._cost(worker, now))
         return others[0] if self._is_much_cheaper(others[0], preferred, now) else preferred
@@ -185,11 +183,7 @@
         """Record the head of an answer and return whether it states that the request has not run."""
         now = anyio.current_time()
         if answer.load is not None:
-            worker.reported_running, worker.reported_waiting = (
-                answer.load.num_running,
-                answer.load.num_waiting,
-            )
-            worker.load_reported_at = now
+            worker.record_report(answer.load, now)
         if answer.is_other_worker:
             self._directory.mark_draining(worker.entry.worker_id)
             history.last_reason = "other_worker"
@@ -200,10 +194,10 @@
         history.last_reason = f"worker_status_{answer.status}"
         return True
 
-    def record_success(self, worker: WorkerState, seconds: float) -> None:
-        """Record a complete answer and how many seconds it took."""
+    def record_success(self, worker: WorkerState, seconds: float, load: ReportedLoad | None = None) -> None:
+        """Record a complete answer, how many seconds it took and the load that came with it."""
         worker.num_recent_failures = 0
-        self.record_latency(worker, seconds)
+        self.record_latency(worker, usual_latency_s(seconds, load))
 
     def record_latency(self, worker: WorkerState, seconds: float) -> None:
         """Update the worker's mean latency with a duration in seconds, which may be a lower bound."""
@@ -239,8 +233,7 @@
 
     @staticmethod
     def _cost(worker: WorkerState, now: float) -> float:
-        load = worker.estimated_load(now, REPORTED_LOAD_VALID_SECONDS)
-        return (1.0 + load) * (worker.latency_seconds or UNKNOWN_LATENCY_SECONDS)
+        return worker.load(now).expected_s
 
 
 def to_worker_request(request: LiveRequest, ends_at: float) -> WorkerRequest:
--- a/src/worksramp/routing/forward.py
+++ b/src/worksramp/routing/forward.py
@@ -216,7 +216,7 @@
                         return None
                     history.record_begun(started)
                     body = b"".join([chunk async for chunk in answer.body])
-                    self._choice.record_success(worker, anyio.current_time() - started)
+                    self._choice.record_success(worker, anyio.current_time() - started, answer.load)
                     self._quarantine.record_complete_answer(request.fingerprint)
                     is_unfinished = False
                     return WholeAnswer(answer.status, answer.headers, body)
--- a/src/worksramp/routing/worker_port.py
+++ b/src/worksramp/routing/worker_port.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
+from worksramp.routing.worker_load import ReportedLoad
 from worksramp.routing.workers import WorkerEntry
 
 HeaderList = tuple[tuple[bytes, bytes], ...]
@@ -36,15 +37,6 @@
     tenant: str = ""
 
 
-@dataclass(frozen=True, slots=True)
-class ReportedLoad:
-    """Load that a worker reports along with an answer."""
-
-    num_running: int
-    num_waiting: int
-    num_slots: int
-
-
 @dataclass(frozen=True, slots=True)
 class WorkerAnswer:
     """Status and headers of a worker's answer, with the body still to be read.
--- a/src/worksramp/routing/workers.py
+++ b/src/worksramp/routing/workers.py
@@ -5,6 +5,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+from worksramp.routing.worker_load import ReportedLoad, WorkerLoad, worker_load
+
 #: Start time of a worker whose entry does not state one.
 START_UNKNOWN = 0
 #: Maximum number of removed workers whose latest start is remembered.
@@ -56,13 +58,12 @@
 
     Attributes:
         num_in_flight: number of requests this node has at the worker, without batch items.
-        reported_running: requests running at the worker, as last reported by it.
-        reported_waiting: requests queued at the worker, as last reported by it.
-        load_reported_at: when the worker last reported its load.
+        reported: load that the worker last reported, None before the first report.
+        reported_at: when the worker last reported its load.
         avoid_until: time until which this node sends no batch items to the worker, and live requests only if
             no other worker is left.
         num_recent_failures: failed attempts since the last success.
-        latency_seconds: moving mean of response times, None before the first.
+        latency_seconds: moving mean of response times at the worker's usual speed, None before the first.
         latency_updated_at: when ``latency_seconds`` last changed.
         is_gone: whether the entry was removed or replaced by that of a later start.
         running: requests and batch items this node has at the worker.
@@ -70,9 +71,8 @@
 
     entry: WorkerEntry
     num_in_flight: int = 0
-    reported_running: int = 0
-    reported_waiting: int = 0
-    load_reported_at: float = float("-inf")
+    reported: ReportedLoad | None = None
+    reported_at: float = float("-inf")
     avoid_until: float = float("-inf")
     num_recent_failures: int = 0
     latency_seconds: float | None = None
@@ -113,18 +113,19 @@
         """Whether this node has a request at the worker that was a suspect when it was sent."""
         return any(request.is_suspect for request in self.running)
 
-    def estimated_load(self, now: float, report_valid_seconds: float) -> float:
-        """Return the number of requests at the worker per slot.
-
-        Args:
-            report_valid_seconds: age from which the load reported by the worker is ignored.
-        """
-        reported = (
-            self.reported_running + self.reported_waiting
-            if now - self.load_reported_at < report_valid_seconds
-            else 0
+    def record_report(self, report: ReportedLoad, now: float) -> None:
+        """Record the load that the worker has just reported."""
+        self.reported, self.reported_at = report, now
+
+    def load(self, now: float) -> WorkerLoad:
+        """Return what is known about the worker's load, without reports that are too old."""
+        return worker_load(
+            self.reported,
+            now - self.reported_at,
+            self.num_in_flight,
+            self.entry.num_slots,
+            self.latency_seconds,
         )
-        return max(self.num_in_flight, reported) / max(1, self.entry.num_slots)
 
 
 @dataclass(slots=True)
