Unequal workers, memory, shares of slots, and owners that do not grow with the fleet

Half of the steps began with waits of 1 to 2 s. Above 100 workers only homes get runs, reports and orders. - Lengths: the rest of a text follows from finished texts, given its hint and what it has shown. - Moves: only texts that may end their step, to a free slot that is kept for them (reserved_slots). - Memory: a run starts where the expected peak of all runs fits; a run dropped for want of memory is told from a stuck one (memory_admission). - Shares: while slots are too few, parties with the fewest slots go first (fair_shares).

--- a/src/worksramp/edge/node.py
+++ b/src/worksramp/edge/node.py
@@ -4,6 +4,7 @@
 import random
 import time
 import uuid
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -180,6 +181,7 @@
             self._workers.store_recovery_age,
             on_refused=lambda fault: self.metrics.entries_refused.labels(fault.value).inc(),
             on_change=lambda: self.shard.wake(),
+            is_loaded=lambda: self._workers.is_loaded,
         )
         values = BatchValues(ValueStore(self.log, self.records.values))
         self.shard = BatchShard(
@@ -332,12 +334,19 @@
         async with anyio.create_task_group() as group:
             group.start_soon(self._control.follow)
             group.start_soon(self._workers.follow)
+            group.start_soon(self._log_workers_loaded)
             group.start_soon(self._entries.drop_missing)
             group.start_soon(self.shard.run)
             group.start_soon(self.quarantine.run)
             if self.usage is not None:
                 group.start_soon(self.usage.run)
 
+    async def _log_workers_loaded(self) -> None:
+        await self._workers.wait_loaded()
+        counts = Counter(state.entry.service for state in self.directory.all_states())
+        services = ",".join(f"{service}:{num}" for service, num in sorted(counts.items()))
+        logger.info("workers_loaded", position=self._workers.position, services=services)
+
     async def stop(self) -> None:
         """Release the shard, serve until callers are sent to other nodes, and finish requests in flight.
 
--- a/src/worksramp/edge/worker_entries.py
+++ b/src/worksramp/edge/worker_entries.py
@@ -32,6 +32,7 @@
         store_recovery_age: returns seconds since the store answered again after an outage.
         on_refused: called with the fault of each entry that cannot be used.
         on_change: called after each change.
+        is_loaded: returns whether the entries have been loaded once; the first load is logged as a whole.
     """
 
     directory: WorkerDirectory
@@ -39,6 +40,7 @@
     store_recovery_age: Callable[[], float]
     on_refused: Callable[[RecordFault], None]
     on_change: Callable[[], None]
+    is_loaded: Callable[[], bool] = lambda: True
     _logged_faults: dict[str, RecordFault] = field(default_factory=dict)
     _are_starts_reported: bool = False
 
@@ -81,21 +83,25 @@
         known = self.directory.get(entry.worker_id)
         is_restart = known is not None and known.entry.started_ms != entry.started_ms
         if known is None or is_restart or known.entry.is_leaving != entry.is_leaving:
-            logger.info(
-                "worker_seen",
-                worker=entry.worker_id,
-                service=entry.service,
-                address=entry.address,
-                is_leaving=entry.is_leaving,
-                started_ms=entry.started_ms,
-                is_restart=is_restart,
-                zone=entry.zone,
-                is_spot=entry.is_spot,
-            )
+            self._log_seen(entry, is_restart)
         if is_restart:
             self.quarantine.handle_worker_gone(entry.worker_id)
         self.directory.put(entry)
 
+    def _log_seen(self, entry: WorkerEntry, is_restart: bool) -> None:
+        log = logger.info if self.is_loaded() or entry.is_leaving else logger.debug
+        log(
+            "worker_seen",
+            worker=entry.worker_id,
+            service=entry.service,
+            address=entry.address,
+            is_leaving=entry.is_leaving,
+            started_ms=entry.started_ms,
+            is_restart=is_restart,
+            zone=entry.zone,
+            is_spot=entry.is_spot,
+        )
+
     def _require_starts(self) -> None:
         """Refuse the entries without a start time, now and later.
 
--- a/src/worksramp/rollout/batch_schedule.py
+++ b/src/worksramp/rollout/batch_schedule.py
@@ -2,17 +2,29 @@
 
 Load pattern: all items of a step arrive at once. Most are short, a few are ten times as long, and the step
 ends with the last of those. Some workers are slow, or were slow when last measured and may have recovered.
+Where a part of the workers is of a faster kind, the long items of all steps need its slots, which short items
+leave many times per second. A worker's memory holds as many usual items as it has slots, but not as many long
+ones.
 """
 
 import math
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 from worksramp.mechanisms import mechanism
+from worksramp.rollout.fair_shares import NO_PARTY, Party, order_by_shares
+from worksramp.rollout.fast_slots import FastSlots, SlotUse, fast_slots, gain_of_waiting_s
+from worksramp.rollout.worker_memory import RunMemory, fits
 
+#: What a worker must offer to run an item: service, model, oldest version and the one version allowed.
+Needs = tuple[str, str, int, int | None]
 #: Workers whose seconds per event differ by less than this ratio count as equally fast.
 PACE_TIER_RATIO = 1.15
 #: Items of batches older than this go before longer items of younger batches.
 OLD_BATCH_SECONDS = 2.5
+#: An item that would wait longer starts where a slot is free, and moves once a slot of a fast worker is.
+MAX_WAIT_FOR_FAST_S = 0.25
+MIN_GAIN_OF_WAIT_S = 0.25
 #: Longest estimated run time of an item that probes whether a slow worker has recovered.
 MAX_PROBE_S = 1.0
 
@@ -24,11 +36,14 @@
     Attributes:
         key: batch id and index of the item, copied into the assignment.
         num_expected_tokens: estimate of the tokens still to be generated.
-        num_memory_tokens: most tokens that the item may occupy in a worker's memory.
+        num_held_tokens: tokens that it occupies in a worker's memory once its run begins: its prompt and its
+            text so far.
         min_version: oldest weight version that it may continue under.
         only_version: the one weight version that it may continue under, None for any.
         avoided: workers that it must not be assigned to now.
         tokens_per_event: tokens that one event holds.
+        party: trainer, of one tenant where there are tenants, that the item is for.
+        reserved_worker: worker that keeps a slot for it, counted among its runs; an empty string for none.
     """
 
     key: tuple[str, int]
@@ -36,11 +51,13 @@
     model: str
     batch_age_seconds: float
     num_expected_tokens: int
-    num_memory_tokens: int
+    num_held_tokens: int
     min_version: int
     only_version: int | None = None
     avoided: frozenset[str] = frozenset()
     tokens_per_event: int = 1
+    reserved_worker: str = ""
+    party: Party = NO_PARTY
 
     @property
     def num_expected_events(self) -> float:
@@ -48,7 +65,12 @@
         return self.num_expected_tokens / self.tokens_per_event
 
     @property
-    def needs(self) -> tuple[str, str, int, int | None]:
+    def memory(self) -> RunMemory:
+        """Memory that its run would take at a worker."""
+        return RunMemory(self.num_held_tokens, self.num_expected_tokens)
+
+    @property
+    def needs(self) -> Needs:
         """What a worker must offer to run it; items with the same needs compete for the same slots."""
         return (self.service, self.model, self.min_version, self.only_version)
 
@@ -67,6 +89,8 @@
         is_failing: fails a large share of its runs; used after all others.
         may_have_recovered: it was slow when last measured, but that measurement is old.
         num_expected_events: estimate of the events that its runs will still generate.
+        num_memory_tokens: tokens that its runs may hold together, None if not known.
+        memory: memory of each of its runs.
     """
 
     worker_id: str
@@ -81,6 +105,12 @@
     is_failing: bool = False
     may_have_recovered: bool = False
     num_expected_events: float = 0.0
+    num_memory_tokens: float | None = None
+    memory: tuple[RunMemory, ...] = ()
+
+    def has_memory_for(self, item: WaitingItem) -> bool:
+        """Return whether its runs and the item's are expected to fit into its memory until they end."""
+        return fits(item.memory, self.memory, self.num_memory_tokens)
 
 
 @dataclass(frozen=True, slots=True)
@@ -98,28 +128,97 @@
     worker: WorkerView
     num_running: int
     num_expected_tokens: int
+    memory: list[RunMemory]
+
+    def can_take(self, item: WaitingItem) -> bool:
+        """Return whether the worker has a free slot and, for a while, memory for an item."""
+        if self.num_running >= self.worker.num_slots:
+            return False
+        return item.batch_age_seconds >= OLD_BATCH_SECONDS or fits(
+            item.memory, self.memory, self.worker.num_memory_tokens
+        )
+
+    def slot_use(self, item: WaitingItem) -> SlotUse:
+        """Return the slots of the worker after the assignments so far, free ones only where the item fits."""
+        worker = self.worker
+        return SlotUse(
+            max(0, worker.num_slots - self.num_running) if self.can_take(item) else 0,
+            worker.num_running,
+            worker.num_expected_events,
+            worker.seconds_per_event,
+        )
 
     def add_run(self, item: WaitingItem) -> Assignment:
         """Assign an item to a free slot of the worker."""
         self.num_running += 1
         self.num_expected_tokens += item.num_expected_tokens
+        self.memory.append(item.memory)
         return Assignment(item.key, self.worker.worker_id)
 
 
-def assign(waiting: list[WaitingItem], workers: list[WorkerView]) -> list[Assignment]:
+class _FastSlotQueue:
+    """Items that wait for slots of fast workers although other workers have free slots."""
+
+    def __init__(self, loads: list[_WorkerLoad]) -> None:
+        self._loads = loads
+        self._num_waiting: dict[Needs, int] = {}
+        self._slots: dict[Needs, FastSlots | None] = {}
+
+    def should_wait(self, item: WaitingItem, worker: WorkerView) -> bool:
+        """Return whether an item ends sooner at a fast worker than at one with a free slot."""
+        if item.needs not in self._slots:
+            self._slots[item.needs] = fast_slots(
+                [
+                    load.slot_use(item)
+                    for load in self._loads
+                    if may_run(item, load.worker) and not load.worker.is_failing
+                ]
+            )
+        slots = self._slots[item.needs]
+        num_ahead = self._num_waiting.get(item.needs, 0)
+        if slots is None or not _should_wait(item, worker.seconds_per_event, slots, num_ahead):
+            return False
+        self._num_waiting[item.needs] = num_ahead + 1
+        return True
+
+
+@mechanism("waits_for_fast_slots", without=lambda item, pace_here_s, slots, num_ahead: False)
+def _should_wait(item: WaitingItem, pace_here_s: float | None, slots: FastSlots, num_ahead: int) -> bool:
+    """Keep a long item back for a moment if a slot of a fast worker becomes free soon."""
+    if slots.num_free > num_ahead or slots.wait_s(num_ahead) > MAX_WAIT_FOR_FAST_S:
+        return False
+    return gain_of_waiting_s(item.num_expected_events, pace_here_s, slots, num_ahead) > MIN_GAIN_OF_WAIT_S
+
+
+def assign(
+    waiting: list[WaitingItem],
+    workers: list[WorkerView],
+    num_running_by_party: Mapping[Party, int] | None = None,
+) -> list[Assignment]:
     """Return assignments of waiting items to free slots.
 
-    Items of old batches go first, then longer items before shorter ones, as a step ends with its last item.
-    Each item goes to the fastest worker that may run it; among about equally fast ones, to the least loaded.
+    While slots are too few, parties share them. Of each party, items of old batches go first, then longer
+    items before shorter ones, as a step ends with its last item. Each item goes to the fastest worker that
+    may run it; among about equally fast ones, to the least loaded.
     """
     fastest = min((worker.seconds_per_event for worker in workers if worker.seconds_per_event), default=None)
-    loads = [_WorkerLoad(worker, worker.num_running, worker.num_expected_tokens) for worker in workers]
+    loads = [
+        _WorkerLoad(worker, worker.num_running, worker.num_expected_tokens, list(worker.memory))
+        for worker in workers
+    ]
     ranked = sorted(waiting, key=rank)
-    assignments = _assign_probes(ranked, loads)
-    probe_keys = {assignment.key for assignment in assignments}
+    assignments = _assign_reserved(ranked, workers)
+    reserved_keys = {assignment.key for assignment in assignments}
+    num_free = sum(max(0, worker.num_slots - worker.num_running) for worker in workers)
+    ranked = order_by_shares(
+        [item for item in ranked if item.key not in reserved_keys], num_running_by_party or {}, num_free
+    )
+    assignments += _assign_probes(ranked, loads)
+    assigned_keys = {assignment.key for assignment in assignments}
+    queue = _FastSlotQueue(loads)
     for item in ranked:
-        load = None if item.key in probe_keys else _choose_worker(item, loads, fastest)
-        if load is not None:
+        load = None if item.key in assigned_keys else _choose_worker(item, loads, fastest)
+        if load is not None and not queue.should_wait(item, load.worker):
             assignments.append(load.add_run(item))
     return assignments
 
@@ -159,6 +258,16 @@
     return worker.is_failing
 
 
+def _assign_reserved(ranked: list[WaitingItem], workers: list[WorkerView]) -> list[Assignment]:
+    """Assign items to the slots that are kept for them, which count as taken already."""
+    by_id = {worker.worker_id: worker for worker in workers}
+    return [
+        Assignment(item.key, item.reserved_worker)
+        for item in ranked
+        if item.reserved_worker in by_id and may_run(item, by_id[item.reserved_worker])
+    ]
+
+
 @mechanism("probes", without=lambda ranked, loads: [])
 def _assign_probes(ranked: list[WaitingItem], loads: list[_WorkerLoad]) -> list[Assignment]:
     """Assign the shortest items to idle workers that may have recovered, one to each.
@@ -185,10 +294,7 @@
     candidates = [
         load for load in loads if load.num_running < load.worker.num_slots and may_run(item, load.worker)
     ]
-    if not candidates:
-        return None
-    return min(
-        candidates,
+    candidates.sort(
         key=lambda load: (
             _is_failing(load.worker),
             load.worker.is_slow,
@@ -196,8 +302,9 @@
             load.num_running / load.worker.num_slots,
             load.num_expected_tokens,
             load.worker.worker_id,
-        ),
+        )
     )
+    return next((load for load in candidates if load.can_take(item)), None)
 
 
 @mechanism("fast_workers_first", without=lambda seconds_per_event, fastest: 0)
--- a/src/worksramp/rollout/batches.py
+++ b/src/worksramp/rollout/batches.py
@@ -82,6 +82,7 @@
         num_expected_tokens: submitter's estimate of the generated tokens, 0 if there is none.
         scoring_call: call that must succeed before the item is listed as completed, None if the item is not
             scored.
+        num_prompt_tokens: tokens of the prompt, 0 if not stated.
     """
 
     item_id: str
@@ -91,6 +92,7 @@
     num_tokens: int
     num_expected_tokens: int = 0
     scoring_call: ScoringCall | None = None
+    num_prompt_tokens: int = 0
 
 
 class GeneratedText(msgspec.Struct, frozen=True, array_like=True):
--- a/src/worksramp/rollout/fast_slots.py
+++ b/src/worksramp/rollout/fast_slots.py
@@ -5,12 +5,18 @@
 """
 
 import math
+import statistics
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-#: Workers count as fast up to this multiple of the lower quartile of the seconds per event: a smaller
-#: difference may be chance.
+from worksramp.mechanisms import mechanism
+
+#: Workers count as fast up to this multiple of the fast workers' seconds per event: a smaller difference may
+#: be chance.
 FAST_PACE_RATIO = 1.2
+#: A worker is of a faster kind than the median worker if it is this many times as fast. Equal workers differ
+#: by less, from their numbers of runs and from chance.
+FASTER_KIND_RATIO = 1.4
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,8 +69,25 @@
 
 
 def fast_pace_s(paces: Sequence[float]) -> float:
-    """Return the seconds per event of the fast workers: the lower quartile, as the minimum may be chance."""
-    return sorted(paces)[len(paces) // 4]
+    """Return the seconds per event of the fast workers.
+
+    Where some workers, or a single one, are of a faster kind than the median, this is the slowest of that
+    kind. Otherwise it is the lower quartile, as the minimum may be chance.
+    """
+    return faster_kind_s(paces) or sorted(paces)[len(paces) // 4]
+
+
+@mechanism("faster_kind", without=lambda paces: None)
+def faster_kind_s(paces: Sequence[float]) -> float | None:
+    """Recognize a faster kind of workers, however few they are.
+
+    Returns:
+        Seconds per event of the slowest of them, None if no worker is of a faster kind than the median one.
+    """
+    if not paces:
+        return None
+    bound_s = statistics.median_low(paces) / FASTER_KIND_RATIO
+    return max((pace for pace in paces if pace <= bound_s), default=None)
 
 
 def gain_of_waiting_s(num_events: float, pace_here_s: float | None, fast: FastSlots, num_ahead: int) -> float:
--- a/src/worksramp/rollout/item_runner.py
+++ b/src/worksramp/rollout/item_runner.py
@@ -76,13 +76,19 @@
         for waiting in (self._items.waiting(), self._items.carried_waiting(now)):
             if not waiting:
                 continue
-            for assignment in assign(self._items.waiting_items(waiting, now), self._items.worker_views(now)):
+            assignments = assign(
+                self._items.waiting_items(waiting, now),
+                self._items.worker_views(now),
+                self._items.num_running_by_party(),
+            )
+            for assignment in assignments:
                 self._start(group, assignment, now)
 
     def _start(self, group: anyio.abc.TaskGroup, assignment: Assignment, now: float) -> None:
         work = self._items.works[assignment.key]
         run = Run(assignment.worker_id, anyio.CancelScope(), now, now)
         work.run = run
+        work.reserved = None
         work.num_runs += 1
         work.clock.enter(Stage.RUNNING, now)
         group.start_soon(self._run, work, run)
@@ -146,6 +152,7 @@
 
     @_outcome_handlers.handler(RunFinished)
     def _handle_finished(self, outcome: RunFinished, work: ItemWork, run: Run, now: float) -> None:
+        self._items.record_length(work)
         self._log_finished(work, run, now)
         self._on_text_complete(work)
 
--- a/src/worksramp/rollout/item_work.py
+++ b/src/worksramp/rollout/item_work.py
@@ -47,6 +47,14 @@
         self.last_event_at = now
 
 
+@dataclass(frozen=True, slots=True)
+class Reservation:
+    """A slot of a worker that is kept for an item until a time."""
+
+    worker_id: str
+    until: float
+
+
 @dataclass(slots=True)
 class ScorerCall:
     """A scoring call in progress.
@@ -112,6 +120,7 @@
         is_done: it needs no further run or call, since it is listed, given up or dropped.
         num_runs: runs started so far.
         clock: time spent in each stage.
+        reserved: slot that is kept for it while its run at another worker is closed.
         carried_until: no run of a carried item starts after this time; None while its batch is open.
     """
 
@@ -133,6 +142,7 @@
     scoring: Scoring = field(default_factory=Scoring)
     num_runs: int = 0
     clock: StageClock = field(default_factory=StageClock)
+    reserved: Reservation | None = None
     carried_until: float | None = None
 
     @property
@@ -195,6 +205,10 @@
         max_attempts = self.route.max_attempts
         return len(self.failed_workers) >= max_attempts or self.text.num_failures >= 2 * max_attempts
 
+    def reserved_worker(self, now: float) -> str:
+        """Return the worker that keeps a slot for it now, an empty string if none does."""
+        return self.reserved.worker_id if self.reserved is not None and now < self.reserved.until else ""
+
     def avoid(self, worker_id: str, until: float) -> None:
         """Keep the item from a worker until a time."""
         self.avoided[worker_id] = until
@@ -203,10 +217,13 @@
         """Return the workers that the item must not be assigned to now."""
         return frozenset(worker_id for worker_id, until in self.avoided.items() if until > now)
 
-    def num_expected_tokens(self, tokens_per_event: int) -> int:
-        """Return the estimate of the tokens still to be generated, at least those of one event."""
-        estimate = self.item.num_expected_tokens or self.item.num_tokens // 2
-        return max(estimate - len(self.text.pieces) * tokens_per_event, tokens_per_event)
+    def num_held_tokens(self, tokens_per_event: int) -> int:
+        """Return the tokens of its prompt and its text so far, which a run holds in a worker's memory."""
+        return self.item.num_prompt_tokens + len(self.text.pieces) * tokens_per_event
+
+    def num_hinted_events(self, tokens_per_event: int) -> float:
+        """Return the length of the text by the submitter's hint, in events."""
+        return (self.item.num_expected_tokens or self.item.num_tokens // 2) / tokens_per_event
 
 
 def text_to_start_from(kept: GeneratedText | None, batch: Batch, route: Route) -> TextBuilder:
--- a/src/worksramp/rollout/open_items.py
+++ b/src/worksramp/rollout/open_items.py
@@ -2,17 +2,21 @@
 
 from collections import Counter, deque
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import anyio
 
 from worksramp.mechanisms import mechanism
 from worksramp.rollout.batch_schedule import WaitingItem, WorkerView
+from worksramp.rollout.fair_shares import Party
 from worksramp.rollout.item_work import ItemKey, ItemWork
 from worksramp.rollout.owner_context import OwnerContext
 from worksramp.rollout.pace import PaceTracker
+from worksramp.rollout.text_length import TextLengths
+from worksramp.rollout.worker_memory import MemoryShares, RunMemory, is_dropped
 from worksramp.routing.failure_tracker import FailureTracker
 from worksramp.routing.fleet_view import FleetView, ModelWork
+from worksramp.routing.table import RouteTable
 from worksramp.routing.workers import WorkerState
 
 #: The largest of this many latest steps is the estimate of the next step's size.
@@ -26,6 +30,7 @@
     num_runs: int = 0
     num_tokens: int = 0
     num_events: float = 0.0
+    memory: list[RunMemory] = field(default_factory=list)
 
 
 class OpenItems:
@@ -34,6 +39,9 @@
     Attributes:
         works: open items by key.
         loading: model whose weights are being loaded, by worker.
+        active_workers: workers of a large fleet that get runs, None if all do.
+        lengths: estimates of the lengths of texts.
+        memory_shares: share of the workers' memory that runs may fill.
     """
 
     def __init__(self, context: OwnerContext, pace: PaceTracker, failures: FailureTracker) -> None:
@@ -42,6 +50,9 @@
         self._failures = failures
         self.works: dict[ItemKey, ItemWork] = {}
         self.loading: dict[str, str] = {}
+        self.active_workers: frozenset[str] | None = None
+        self.lengths = TextLengths()
+        self.memory_shares = MemoryShares()
         self._step_sizes: dict[str, deque[int]] = {}
 
     def of_batch(self, batch_id: str) -> list[ItemWork]:
@@ -83,6 +94,21 @@
         spec = None if table is None else table.services.get(work.route.parts[0].service)
         return spec.tokens_per_event if spec else 1
 
+    def events_left(self, work: ItemWork) -> float:
+        """Return how many more events the text of an item is expected to have."""
+        num_hinted = work.num_hinted_events(self.tokens_per_event(work))
+        return self.lengths.events_left(work.model, num_hinted, len(work.text.pieces))
+
+    def most_events_left(self, work: ItemWork) -> float:
+        """Return how many more events the text of an item has at most, but for rare cases."""
+        num_hinted = work.num_hinted_events(self.tokens_per_event(work))
+        return self.lengths.most_events_left(work.model, num_hinted, len(work.text.pieces))
+
+    def record_length(self, work: ItemWork) -> None:
+        """Learn from the length of a complete text."""
+        num_hinted = work.num_hinted_events(self.tokens_per_event(work))
+        self.lengths.record(work.model, num_hinted, len(work.text.pieces))
+
     def record_step_size(self, model: str, num_items: int) -> None:
         """Record the number of items of a new batch."""
         self._step_sizes.setdefault(model, deque(maxlen=NUM_REMEMBERED_STEPS)).append(num_items)
@@ -104,6 +130,7 @@
             num_runs,
             num_taken_slots,
             self._pace.slow_workers(now) | self._failures.failing_workers(now),
+            self._pace.fast_workers(now),
         )
 
     def _model_work(self, model: str, works: list[ItemWork]) -> ModelWork:
@@ -136,44 +163,91 @@
                     service=service,
                     model=work.model,
                     batch_age_seconds=self._context.time_of_day() - work.submitted_at,
-                    num_expected_tokens=work.num_expected_tokens(tokens_per_event),
-                    num_memory_tokens=work.item.num_tokens,
+                    num_expected_tokens=round(self.events_left(work) * tokens_per_event),
+                    num_held_tokens=work.num_held_tokens(tokens_per_event),
                     min_version=work.min_version,
                     only_version=only,
                     avoided=_avoided(work, failing, now),
                     tokens_per_event=tokens_per_event,
+                    reserved_worker=work.reserved_worker(now),
+                    party=self._party(work, table),
                 )
             )
         return items
 
+    def num_running_by_party(self) -> Counter[Party]:
+        """Return how many slots each party uses."""
+        table = self._context.table.current
+        if table is None:
+            return Counter()
+        return Counter(self._party(work, table) for work in self.works.values() if work.run is not None)
+
+    def _party(self, work: ItemWork, table: RouteTable) -> Party:
+        tenant = table.tenants.by_name(work.tenant)
+        return Party(work.tenant, work.model, (0 if tenant is None else tenant.priority, work.route.priority))
+
     def worker_views(self, now: float) -> list[WorkerView]:
         """Return the workers that may get runs now, as scheduler input."""
         table = self._context.table.current
         if table is None:
             return []
-        load_by_worker = self._loads()
+        load_by_worker = self._loads(now)
         slow, failing = self._pace.last_known_slow(now), self._failures.failing_workers(now)
         return [
             self._worker_view(state, load_by_worker.get(state.entry.worker_id, _Load()), slow, failing, now)
             for service in table.services
             for state in self._context.directory.usable(service)
-            if state.avoid_until <= now
+            if state.avoid_until <= now and self._is_active(state.entry.worker_id)
+        ]
+
+    def _is_active(self, worker_id: str) -> bool:
+        return self.active_workers is None or worker_id in self.active_workers
+
+    def record_if_dropped(self, work: ItemWork, now: float) -> bool:
+        """Return whether a silent run was probably dropped for want of memory; if so, learn from it."""
+        assert work.run is not None
+        worker_id, service = work.run.worker_id, work.route.parts[0].service
+        others = [
+            self._run_memory(other)
+            for other in self.works.values()
+            if other is not work and other.run is not None and other.run.worker_id == worker_id
         ]
+        if not is_dropped(self._run_memory(work), others, self._memory_tokens(service)):
+            return False
+        self.memory_shares.record_dropped_run(service, now)
+        return True
+
+    def _run_memory(self, work: ItemWork) -> RunMemory:
+        tokens_per_event = self.tokens_per_event(work)
+        return RunMemory(work.num_held_tokens(tokens_per_event), self.events_left(work) * tokens_per_event)
+
+    def _memory_tokens(self, service: str) -> float | None:
+        """Return the size of the memory of a service's workers in tokens, None if not configured."""
+        table = self._context.table.current
+        spec = None if table is None else table.services.get(service)
+        return spec.num_memory_tokens if spec is not None and spec.num_memory_tokens > 0 else None
+
+    def _usable_memory_tokens(self, service: str, now: float) -> float | None:
+        size = self._memory_tokens(service)
+        return None if size is None else self.memory_shares.share(service, now) * size
 
-    def _loads(self) -> dict[str, _Load]:
-        """Return the load of each worker that runs items, as counted by this owner."""
+    def _loads(self, now: float) -> dict[str, _Load]:
+        """Return the load of each worker by runs and reserved slots, as counted by this owner."""
         loads: dict[str, _Load] = {}
         for work in self.works.values():
-            if work.run is None:
-                continue
-            load = loads.setdefault(work.run.worker_id, _Load())
-            tokens_per_event = self.tokens_per_event(work)
-            num_tokens = work.num_expected_tokens(tokens_per_event)
-            load.num_runs += 1
-            load.num_tokens += num_tokens
-            load.num_events += num_tokens / tokens_per_event
+            reserved = work.reserved_worker(now)
+            for worker_id in (work.run.worker_id if work.run else "", reserved):
+                if worker_id:
+                    self._add_load(loads.setdefault(worker_id, _Load()), work)
         return loads
 
+    def _add_load(self, load: _Load, work: ItemWork) -> None:
+        num_events = self.events_left(work)
+        load.num_runs += 1
+        load.num_tokens += round(num_events * self.tokens_per_event(work))
+        load.num_events += num_events
+        load.memory.append(self._run_memory(work))
+
     def _worker_view(
         self,
         state: WorkerState,
@@ -199,6 +273,8 @@
             is_failing=worker_id in failing,
             may_have_recovered=is_slow and pace is not None and pace.is_old,
             num_expected_events=load.num_events,
+            num_memory_tokens=self._usable_memory_tokens(state.entry.service, now),
+            memory=tuple(load.memory),
         )
 
 
--- a/src/worksramp/rollout/run_watch.py
+++ b/src/worksramp/rollout/run_watch.py
@@ -4,8 +4,8 @@
 import structlog
 
 from worksramp.mechanisms import mechanism
-from worksramp.rollout.item_work import ItemWork, Run
-from worksramp.rollout.move_gain import MoveEstimator
+from worksramp.rollout.item_work import ItemWork, Reservation, Run
+from worksramp.rollout.move_gain import MoveEstimator, RunView
 from worksramp.rollout.open_items import OpenItems
 from worksramp.rollout.pace import PaceTracker
 from worksramp.routing.failure_tracker import FailureTracker
@@ -13,13 +13,10 @@
 STUCK_FACTOR = 10.0
 MIN_STUCK_SECONDS = 0.7
 FIRST_EVENT_SECONDS = 1.2
-MIN_SECONDS_BETWEEN_MOVES = 0.6
-#: A move opens a new connection, and the new worker has to read the prompt and the text so far.
-MOVE_COST_SECONDS = 0.1
-MIN_MOVE_GAIN_SECONDS = 0.25
-#: Lengths have a long tail: a text is expected to grow by at least this share of its length so far.
-EXPECTED_TAIL_SHARE = 0.4
+MIN_SECONDS_BETWEEN_MOVES = 0.4
 MAX_MOVES_PER_TICK = 2
+#: Longest time that a slot is kept for an item whose run at another worker is being closed.
+RESERVED_S = 0.5
 
 logger = structlog.get_logger()
 
@@ -46,8 +43,10 @@
         typical = self._pace.typical_seconds(now)
         for work, run in running:
             if self._is_stuck(run, typical, now):
-                self._failures.observe(run.worker_id, is_failure=True, now=now)
-                self._move(work, run, "stuck", now)
+                is_dropped = run.num_events > 0 and self._items.record_if_dropped(work, now)
+                if not is_dropped:
+                    self._failures.observe(run.worker_id, is_failure=True, now=now)
+                self._move(work, run, "dropped_for_memory" if is_dropped else "stuck", now)
         self._move_slow([(work, run) for work, run in running if not run.is_moving], now)
 
     def close_runs_at(self, worker_id: str) -> None:
@@ -85,36 +84,38 @@
             self._longest_left(),
         )
         num_moves = 0
+        targets: set[str] = set()
         for work, run in slow:
-            if (
-                num_moves < MAX_MOVES_PER_TICK
-                and self._gain_of_move(work, run, estimator, now) > MIN_MOVE_GAIN_SECONDS
-            ):
-                num_moves += 1
-                self._move(work, run, "faster_elsewhere", now)
+            if num_moves == MAX_MOVES_PER_TICK:
+                break
+            view = self._run_view(work, run, now)
+            move = None if view is None else estimator.decide(view, targets)
+            if move is None:
+                continue
+            if move.target:
+                targets.add(move.target)
+                work.reserved = Reservation(move.target, now + RESERVED_S)
+            num_moves += 1
+            self._move(work, run, "faster_elsewhere", now)
 
-    def _gain_of_move(self, work: ItemWork, run: Run, estimator: MoveEstimator, now: float) -> float:
-        """Return how many seconds earlier an item is expected to end after a move, net of its cost."""
-        pace = self._pace.seconds_per_event(run.worker_id, now)
+    def _run_view(self, work: ItemWork, run: Run, now: float) -> RunView | None:
+        """Return a run as input of the decision, None if its worker's pace or its route is not known."""
+        pace_s = self._pace.seconds_per_event(run.worker_id, now)
         items = self._items.waiting_items([work], now)
-        if pace is None or not items:
-            return 0.0
-        gain_s = estimator.gain_s(items[0], run.worker_id, pace, self._num_events_left(work))
-        return gain_s - MOVE_COST_SECONDS
+        if pace_s is None or not items:
+            return None
+        is_slow = self._pace.is_slow(run.worker_id, now)
+        left, most_left = self._items.events_left(work), self._items.most_events_left(work)
+        return RunView(items[0], run.worker_id, pace_s, left, most_left, is_slow)
 
     def _longest_left(self) -> dict[str, float]:
         longest: dict[str, float] = {}
         for work in self._items.works.values():
             if not work.text.is_whole and not work.is_carried:
                 batch_id = work.key[0]
-                longest[batch_id] = max(longest.get(batch_id, 0.0), self._num_events_left(work))
+                longest[batch_id] = max(longest.get(batch_id, 0.0), self._items.events_left(work))
         return longest
 
-    def _num_events_left(self, work: ItemWork) -> float:
-        tokens_per_event = self._items.tokens_per_event(work)
-        estimated = work.num_expected_tokens(tokens_per_event) / tokens_per_event
-        return max(estimated, EXPECTED_TAIL_SHARE * len(work.text.pieces))
-
     def _move(self, work: ItemWork, run: Run, reason: str, now: float) -> None:
         run.is_moving = True
         work.avoid(run.worker_id, now + 2 * MIN_SECONDS_BETWEEN_MOVES)
@@ -124,6 +125,7 @@
             batch_id=work.key[0],
             worker=run.worker_id,
             reason=reason,
+            to="" if work.reserved is None else work.reserved.worker_id,
             num_events=len(work.text.pieces),
             silent_seconds=round(now - run.last_event_at, 3),
             seconds_per_event=self._pace.seconds_per_event(run.worker_id, now),
--- a/src/worksramp/routing/fleet_view.py
+++ b/src/worksramp/routing/fleet_view.py
@@ -31,12 +31,14 @@
         num_taken_slots: number of runs of all models by worker id.
         slow_workers: ids of workers that are much slower than the others now, or that fail part of their
             work.
+        fast_workers: ids of workers of a faster kind than the median worker.
     """
 
     models: dict[str, ModelWork]
     num_runs: dict[tuple[str, str], int]
     num_taken_slots: dict[str, int]
     slow_workers: frozenset[str]
+    fast_workers: frozenset[str] = frozenset()
 
 
 class FleetWork(Protocol):
@@ -44,9 +46,11 @@
 
     Attributes:
         loading: model that each loading worker loads, by worker id.
+        active_workers: workers of a large fleet that get its work, None if all do.
     """
 
     loading: dict[str, str]
+    active_workers: frozenset[str] | None
 
     def view(self) -> FleetView:
         """Return the current work of the fleet."""
--- a/src/worksramp/routing/identity.py
+++ b/src/worksramp/routing/identity.py
@@ -86,6 +86,7 @@
 
     tenants: tuple[Tenant, ...] = ()
     _names_by_digest: dict[str, str] = field(init=False, repr=False, compare=False)
+    _by_name: dict[str, Tenant] = field(init=False, repr=False, compare=False)
 
     def __post_init__(self) -> None:
         names: set[str] = set()
@@ -102,6 +103,11 @@
                 if other != tenant.name:
                     raise TenantError(f"{path}.keys", f"{tenant.name!r} and {other!r} have the same key")
         object.__setattr__(self, "_names_by_digest", names_by_digest)
+        object.__setattr__(self, "_by_name", {tenant.name: tenant for tenant in self.tenants})
+
+    def by_name(self, name: str) -> Tenant | None:
+        """Return the tenant of a name, None if there is none."""
+        return self._by_name.get(name)
 
     def identify(self, key: bytes | None, is_key_required: bool = True) -> Identified | Unidentified:
         """Return the tenant of a caller.
--- a/src/worksramp/routing/workers.py
+++ b/src/worksramp/routing/workers.py
@@ -145,7 +145,11 @@
         self._states: dict[str, WorkerState] = {}
         self._starts: dict[str, _KnownStart] = {}
         self._missing_since: dict[str, float] = {}
+        #: Usable workers by service, sorted by id, since the last change of which workers are usable.
+        self._usable: dict[str, list[WorkerState]] = {}
         self.revision = 0
+        #: Grows with each change of which workers are usable.
+        self.usable_revision = 0
 
     @property
     def num_remembered(self) -> int:
@@ -169,8 +173,16 @@
         self.revision += 1
         self._missing_since.pop(entry.worker_id, None)
         known = self._record_start(entry)
-        known.is_draining |= entry.is_leaving
         state = self._states.get(entry.worker_id)
+        if (
+            state is None
+            or state.entry.service != entry.service
+            or state.entry.started_ms != entry.started_ms
+        ):
+            self._forget_usable()
+        if entry.is_leaving and not known.is_draining:
+            known.is_draining = True
+            self._forget_usable()
         if state is not None and state.entry.started_ms != entry.started_ms:
             state.is_gone = True
             state = None
@@ -186,6 +198,7 @@
         self.revision += 1
         self._missing_since.pop(worker_id, None)
         state = self._states.pop(worker_id, None)
+        self._forget_usable()
         if state is not None:
             state.is_gone = True
 
@@ -206,6 +219,7 @@
         known = self._starts.get(worker_id)
         if known is not None:
             known.is_draining = True
+        self._forget_usable()
         self.revision += 1
 
     def get(self, worker_id: str) -> WorkerState | None:
@@ -218,16 +232,22 @@
 
     def usable(self, service: str) -> list[WorkerState]:
         """Return the workers of a service that accept new work, sorted by id."""
-        return [
-            state
-            for worker_id, state in sorted(self._states.items())
-            if state.entry.service == service and not self._starts[worker_id].is_draining
-        ]
+        if service not in self._usable:
+            self._usable[service] = [
+                state
+                for worker_id, state in sorted(self._states.items())
+                if state.entry.service == service and not self._starts[worker_id].is_draining
+            ]
+        return list(self._usable[service])
 
     def all_states(self) -> Iterable[WorkerState]:
         """Return the states of all workers that have an entry."""
         return list(self._states.values())
 
+    def _forget_usable(self) -> None:
+        self._usable.clear()
+        self.usable_revision += 1
+
     def _record_start(self, entry: WorkerEntry) -> _KnownStart:
         known = self._starts.get(entry.worker_id)
         if known is None or known.started_ms != entry.started_ms:
@@ -244,3 +264,7 @@
         gone = (worker_id for worker_id in self._starts if worker_id not in self._states)
         for worker_id in list(itertools.islice(gone, num_over)):
             del self._starts[worker_id]
+
+
+def _identity(entry: WorkerEntry) -> tuple[str, int]:
+    return (entry.service, entry.started_ms)
--- a/src/worksramp/weights/version_mover.py
+++ b/src/worksramp/weights/version_mover.py
@@ -33,6 +33,12 @@
 #: Steps wait for loads, so the end of a load is polled often, for three seconds in all.
 MAX_POLLS = 30
 PAUSE_AFTER_FAILURE_SECONDS = 0.5
+#: In a fleet with more workers, only the homes get work, reports and orders, so that an owner's connections
+#: and decisions grow with its steps and not with the fleet.
+MAX_ACTIVE_WORKERS = 100
+
+#: What the homes of a service's models depend on: usable workers, demands, slow and fast workers.
+PlacementKey = tuple[int, tuple[ModelDemand, ...], frozenset[str], frozenset[str]]
 
 logger = structlog.get_logger()
 
@@ -75,12 +81,13 @@
     context: MoverContext
     _pause_until: dict[str, float] = field(default_factory=dict)
     _homes: dict[str, frozenset[str]] = field(default_factory=dict)
+    _placed_for: dict[str, PlacementKey] = field(default_factory=dict)
 
     async def run(self) -> None:
         """Give orders until cancelled."""
         async with anyio.create_task_group() as group:
             # Workers' entries may not show the effect of the previous owner's orders yet.
-            for state in self._fleet():
+            for state in self._ordered_workers():
                 group.start_soon(self._fetch_report, state)
             while True:
                 if self.context.may_order():
@@ -92,6 +99,12 @@
         services = [] if table is None else [name for name, spec in table.services.items() if spec.models]
         return [state for service in services for state in self.context.directory.usable(service)]
 
+    def _ordered_workers(self) -> list[WorkerState]:
+        """Return the workers that the previous owner may have ordered to load."""
+        self._needs()
+        active = self.context.work.active_workers
+        return [state for state in self._fleet() if active is None or state.entry.worker_id in active]
+
     async def _fetch_report(self, state: WorkerState) -> None:
         report = await self.context.port.report(state.entry)
         if report is not None:
@@ -110,32 +123,53 @@
         if table is None:
             return []
         view = self.context.work.view()
-        return [
+        needs = [
             need
             for service, spec in table.services.items()
             if spec.models
             for need in self._needs_of_service(service, spec.models, view)
         ]
+        is_large = len(self._fleet()) > MAX_ACTIVE_WORKERS
+        homes = frozenset().union(*self._homes.values())
+        self.context.work.active_workers = homes if is_large else None
+        return needs
 
     def _needs_of_service(self, service: str, models: tuple[str, ...], view: FleetView) -> list[ModelNeed]:
+        homes = self._place(service, models, view)
         states = self.context.directory.usable(service)
-        candidates = [
-            HomeCandidate(
-                state.entry.worker_id, state.entry.num_slots, state.entry.worker_id in view.slow_workers
-            )
-            for state in states
-        ]
-        homes = place_models(
-            [ModelDemand(model, view.models.get(model, ModelWork()).num_step_items) for model in models],
-            candidates,
-        )
-        self._update_homes(homes)
+        active = frozenset().union(*homes.values()) | frozenset(view.num_taken_slots)
+        if len(states) > MAX_ACTIVE_WORKERS:
+            states = [state for state in states if state.entry.worker_id in active]
         return [
             self._need(model, homes[model], states, view)
             for model in models
             if model in self.context.named_versions
         ]
 
+    def _place(self, service: str, models: tuple[str, ...], view: FleetView) -> dict[str, frozenset[str]]:
+        """Return the homes of a service's models, placed again after a change of what they depend on."""
+        works = {model: view.models.get(model, ModelWork()) for model in models}
+        demands = tuple(
+            ModelDemand(model, work.num_step_items, work.has_one_version_work)
+            for model, work in works.items()
+        )
+        key = (self.context.directory.usable_revision, demands, view.slow_workers, view.fast_workers)
+        if key != self._placed_for.get(service):
+            self._placed_for[service] = key
+            self._update_homes(place_models(demands, self._candidates(service, view)))
+        return {model: self._homes[model] for model in models}
+
+    def _candidates(self, service: str, view: FleetView) -> list[HomeCandidate]:
+        return [
+            HomeCandidate(
+                state.entry.worker_id,
+                state.entry.num_slots,
+                state.entry.worker_id in view.slow_workers,
+                state.entry.worker_id in view.fast_workers,
+            )
+            for state in self.context.directory.usable(service)
+        ]
+
     def _update_homes(self, homes: dict[str, frozenset[str]]) -> None:
         for model, worker_ids in homes.items():
             if worker_ids != self._homes.get(model):
--- a/src/worksramp/weights/version_moves.py
+++ b/src/worksramp/weights/version_moves.py
@@ -2,8 +2,13 @@
 
 The decision is a pure function of one view of the fleet. A home of a model (`worksramp.weights.model_homes`)
 whose version is too old for the open items loads at once. A home whose version is still recent enough loads
-only while it runs nothing of that model and none of the model's items wait, so that the load takes no slot
-from an item. Other workers load only when the homes have too few free slots for the waiting items.
+while none of the model's items wait, so that the load takes no slot from an item; its runs go on meanwhile
+unless their texts need one version. Other workers load only when the homes have too few free slots for the
+waiting items.
+
+Load pattern: steps follow one another so closely, and their longest texts take so long, that a home is never
+without runs. If it loaded only while idle, each step would begin with homes whose versions are too old, and
+its first items would wait for loads.
 """
 
 import itertools
@@ -12,6 +17,11 @@
 
 from worksramp.mechanisms import mechanism
 
+#: Share of a model's homes that may load early beside their runs at the same time. The others take the items
+#: that come back from other workers meanwhile.
+MAX_EARLY_SHARE = 0.5
+#: Homes that are left to these items at the least: some may fail or be slow without its being known yet.
+MIN_READY_HOMES = 3
 #: Concurrent loads as a share of the fleet. With more loads than that (2 on 5 and 6 workers, 10 on 24), each
 #: load takes longer.
 MAX_LOADING_SHARE = 0.4
@@ -130,14 +140,39 @@
 
 @mechanism("early_loads", without=lambda need: [])
 def _early_moves(need: ModelNeed) -> list[Move]:
-    """Let idle homes load before their version is too old, while no item waits for a slot."""
+    """Let homes load before their version is too old, while no item waits for a slot."""
     if need.num_waiting > 0:
         return []
-    return [
-        _move(need, worker)
+    recent = [
+        worker
         for worker in _update_candidates(need)
-        if need.is_home(worker) and worker.version >= need.min_version and worker.num_running == 0
+        if need.is_home(worker) and worker.version >= need.min_version
     ]
+    idle = [worker for worker in recent if worker.num_running == 0]
+    busy = [worker for worker in recent if worker.num_running > 0]
+    return [_move(need, worker) for worker in idle + _loadable_beside_runs(need, busy)]
+
+
+@mechanism("loads_beside_runs", without=lambda need, busy: [])
+def _loadable_beside_runs(need: ModelNeed, busy: list[WorkerVersion]) -> list[WorkerVersion]:
+    """Let a part of the homes load early although they run items of the model, which go on meanwhile.
+
+    The other homes must have free slots for the runs at slow or failing workers, which may come back.
+    """
+    if need.has_single_version_runs:
+        return []
+    homes = [worker for worker in need.workers if need.is_home(worker)]
+    num_loading = sum(1 for worker in homes if worker.is_loading_this)
+    num_left = min(int(MAX_EARLY_SHARE * len(homes)), len(homes) - MIN_READY_HOMES) - num_loading
+    num_at_risk = sum(worker.num_running for worker in need.workers if worker.is_slow)
+    num_free = sum(worker.num_free_slots for worker in homes if not worker.is_loading_this)
+    loadable: list[WorkerVersion] = []
+    for worker in busy:
+        num_free -= worker.num_free_slots
+        if len(loadable) >= num_left or num_free < num_at_risk:
+            break
+        loadable.append(worker)
+    return loadable
 
 
 def _num_usable_slots(need: ModelNeed) -> int:
