Live requests that no worker can answer in time are refused at once; items larger than a worker's memory end at once

Cause: nothing was ever refused, whatever waited; an item whose prompt fills a worker's memory was tried until its batch was old.

A request is refused, as not run, only if every usable worker reports (within a second) as many requests as slots and the soonest would answer after the time left; a tenant with more than its share of the node's requests may wait half of that. Retry-After is the excess, spread by a factor of one to two.

Weighed: a limit on the queue's length knows nothing of the caller's deadline; tickets for earlier refused callers need an identity of callers across tries, which the requests don't carry.

--- a/src/worksramp/rollout/batch_owner.py
+++ b/src/worksramp/rollout/batch_owner.py
@@ -162,6 +162,8 @@
             if work.text.is_whole:
                 num_reused += 1
                 self._on_text_complete(work)
+            elif self.items.is_too_large(work):
+                self._lister.give_up(work, "larger_than_memory")
         logger.info(
             "batch_taken",
             batch_id=batch_id,
--- a/src/worksramp/rollout/open_items.py
+++ b/src/worksramp/rollout/open_items.py
@@ -13,7 +13,7 @@
 from worksramp.rollout.owner_context import OwnerContext
 from worksramp.rollout.pace import PaceTracker
 from worksramp.rollout.text_length import TextLengths
-from worksramp.rollout.worker_memory import MemoryShares, RunMemory, is_dropped
+from worksramp.rollout.worker_memory import MemoryShares, RunMemory, is_dropped, is_too_large
 from worksramp.routing.failure_tracker import FailureTracker
 from worksramp.routing.fleet_view import FleetView, ModelWork
 from worksramp.routing.table import RouteTable
@@ -217,6 +217,11 @@
         self.memory_shares.record_dropped_run(service, now)
         return True
 
+    def is_too_large(self, work: ItemWork) -> bool:
+        """Return whether the prompt of an item alone fills the memory of each worker of its service."""
+        num_memory_tokens = self._memory_tokens(work.route.parts[0].service)
+        return is_too_large(work.item.num_prompt_tokens, self.tokens_per_event(work), num_memory_tokens)
+
     def _run_memory(self, work: ItemWork) -> RunMemory:
         tokens_per_event = self.tokens_per_event(work)
         return RunMemory(work.num_held_tokens(tokens_per_event), self.events_left(work) * tokens_per_event)
--- a/src/worksramp/rollout/worker_memory.py
+++ b/src/worksramp/rollout/worker_memory.py
@@ -92,3 +92,12 @@
     others = tuple(others)
     num_held = run.num_held_tokens + sum(other.num_held_tokens for other in others)
     return bool(others) and num_held >= FULL_SHARE * num_memory_tokens
+
+
+def is_too_large(num_prompt_tokens: int, tokens_per_event: int, num_memory_tokens: float | None) -> bool:
+    """Return whether a prompt leaves no room for a first event, so that no worker can ever run the item.
+
+    Args:
+        num_memory_tokens: size of the memory of each worker, None if not known.
+    """
+    return num_memory_tokens is not None and num_prompt_tokens + tokens_per_event > num_memory_tokens
--- a/src/worksramp/routing/attempts.py
+++ b/src/worksramp/routing/attempts.py
@@ -10,7 +10,7 @@
 from worksramp.mechanisms import mechanism
 from worksramp.routing.fingerprint import HOST_HEADER, fingerprint_of
 from worksramp.routing.table import Route
-from worksramp.routing.worker_load import ReportedLoad, usual_latency_s
+from worksramp.routing.worker_load import ReportedLoad, WorkerLoad, usual_latency_s
 from worksramp.routing.worker_port import HeaderList, WorkerAnswer, WorkerRequest
 from worksramp.routing.workers import WorkerDirectory, WorkerState
 
@@ -124,6 +124,11 @@
         self._rng = rng
         self._node = node
 
+    def loads(self, service: str) -> list[WorkerLoad]:
+        """Return the loads of the workers of a service that a request may be sent to now."""
+        now = anyio.current_time()
+        return [worker.load(now) for worker in self._directory.usable(service) if worker.avoid_until <= now]
+
     def choose(self, service: str, history: AttemptHistory) -> WorkerState | None:
         """Return a worker for an attempt, or None if none is left."""
         now = anyio.current_time()
--- a/src/worksramp/routing/forward.py
+++ b/src/worksramp/routing/forward.py
@@ -4,6 +4,7 @@
 """
 
 import random
+from collections import Counter
 from collections.abc import Callable
 from contextlib import AsyncExitStack
 from dataclasses import dataclass
@@ -12,6 +13,7 @@
 import structlog
 
 from worksramp.mechanisms import mechanism
+from worksramp.routing.admission import Admitted, decide_admission, is_over_share
 from worksramp.routing.attempts import (
     AttemptHistory,
     LiveRequest,
@@ -102,6 +104,8 @@
         self._on_outcome = on_outcome
         self._on_begun = on_begun
         self._choice = WorkerChoice(directory, rng, node)
+        self._rng = rng
+        self._num_in_flight: Counter[str] = Counter()
 
     async def forward(self, request: LiveRequest, route: Route, stack: AsyncExitStack) -> ForwardOutcome:
         """Forward a request and return the final outcome.
@@ -110,9 +114,13 @@
             stack: holds the connection of a stream; the caller closes it once the answer has been passed on.
         """
         history = AttemptHistory()
+        self._num_in_flight[request.tenant] += 1
         try:
             outcome = await self._forward(request, route, stack, history)
         finally:
+            self._num_in_flight[request.tenant] -= 1
+            if not self._num_in_flight[request.tenant]:
+                del self._num_in_flight[request.tenant]
             # A caller may have left while a worker was running its request.
             if self._on_begun is not None and history.began_at is not None:
                 self._on_begun(request.tenant, anyio.current_time() - history.began_at)
@@ -141,6 +149,9 @@
             return Quarantined()
         last_start = request.ends_at(route) - MIN_ATTEMPT_SECONDS
         service = self._choice.choose_service(route)
+        no_room = self._refuse_for_load(request, service, last_start)
+        if no_room is not None:
+            return no_room
         while history.has_attempt_left(route) and anyio.current_time() < last_start:
             worker = self._choice.choose(service, history)
             if worker is None:
@@ -161,6 +172,26 @@
                 return MayHaveRun(refusal.reason, is_late=False) if history.may_have_run else refusal
         return self._give_up(history, route, is_late=anyio.current_time() >= last_start)
 
+    def _refuse_for_load(self, request: LiveRequest, service: str, last_start: float) -> NotRun | None:
+        """Return the refusal of a request that no worker is expected to answer in time, None if one is."""
+        decision = decide_admission(
+            self._choice.loads(service),
+            last_start - anyio.current_time(),
+            is_over_share(self._num_in_flight, request.tenant),
+            self._rng,
+        )
+        if isinstance(decision, Admitted):
+            return None
+        logger.info(
+            "request_refused_for_load",
+            request_id=request.request_id,
+            tenant=request.tenant,
+            service=service,
+            expected_s=round(decision.expected_s, 3),
+            retry_after_s=round(decision.retry_after_s, 3),
+        )
+        return NotRun("no_room", decision.retry_after_s)
+
     def _give_up(self, history: AttemptHistory, route: Route, is_late: bool) -> ForwardOutcome:
         if history.failure is not None:
             return history.failure
--- a/tests/unit/test_worker_memory.py
+++ b/tests/unit/test_worker_memory.py
@@ -21,6 +21,7 @@
     expected_peak_tokens,
     fits,
     is_dropped,
+    is_too_large,
 )
 
 MEMORY_TOKENS = 30_000
@@ -90,6 +91,12 @@
     assert is_dropped(RunMemory(500, 3_000), others, MEMORY_TOKENS) is expected
 
 
+def test_an_item_whose_prompt_fills_a_worker_can_never_run() -> None:
+    assert is_too_large(MEMORY_TOKENS - 70, 71, MEMORY_TOKENS)
+    assert not is_too_large(MEMORY_TOKENS - 71, 71, MEMORY_TOKENS)
+    assert not is_too_large(10**9, 71, None)
+
+
 def test_dropped_runs_lower_the_share_for_a_while() -> None:
     shares = MemoryShares()
     assert shares.share("s", 0.0) == INITIAL_SHARE
