--- a/src/worksramp/edge/metrics.py
+++ b/src/worksramp/edge/metrics.py
@@ -30,6 +30,8 @@
         )
         self.duty_calls = self._counter("duty_calls", "Calls for duties to the platform", "duty", "outcome")
         self.item_runs = self._counter("item_runs", "Runs of items at workers", "outcome")
+        self.item_moves = self._counter("item_moves", "Items moved to another worker", "reason")
+        self.refusals_for_load = self._counter("refusals_for_load", "Live requests refused for want of room")
         self.scoring_calls = self._counter("scoring_calls", "Scoring calls at workers", "outcome")
         self.item_seconds = self._histogram(
             "item_seconds", "Age of a batch at the listing of an item", ITEM_BUCKETS
--- a/src/worksramp/edge/node.py
+++ b/src/worksramp/edge/node.py
@@ -163,6 +163,7 @@
             settings.node_id,
             self.quarantine,
             None if self.usage is None else self.usage.count,
+            self.metrics.refusals_for_load.inc,
         )
         self._control = KeyedReplica(
             self.log,
--- a/src/worksramp/edge/shard.py
+++ b/src/worksramp/edge/shard.py
@@ -326,6 +326,7 @@
                 lambda outcome: context.metrics.item_runs.labels(outcome).inc(),
                 lambda outcome: context.metrics.scoring_calls.labels(outcome).inc(),
                 context.metrics.item_seconds.observe,
+                lambda reason: context.metrics.item_moves.labels(reason).inc(),
             )
         )
         mover = VersionMover(self._mover_context(owner, writer, record.epoch))
--- a/src/worksramp/rollout/batch_owner.py
+++ b/src/worksramp/rollout/batch_owner.py
@@ -45,7 +45,7 @@
         self._pace = PaceTracker()
         self._failures = FailureTracker()
         self.items = OpenItems(context, self._pace, self._failures)
-        self._watch = RunWatch(self.items, self._pace, self._failures)
+        self._watch = RunWatch(self.items, self._pace, self._failures, context.on_moved)
         self._texts = TextKeeper(context, self.items)
         self._reader = BatchReader(context.values, context.ledger)
         self._results = ResultWriter(context.values.store, context.writer, context.max_record_bytes)
--- a/src/worksramp/rollout/item_runner.py
+++ b/src/worksramp/rollout/item_runner.py
@@ -36,6 +36,7 @@
 from worksramp.routing.workers import WorkerState
 
 FAILURE_PAUSE_SECONDS = 0.1
+LOG_WAITING_EVERY_S = 1.0
 #: Urgency of carried items: runs of open batches, which have the workers' default of 5, displace theirs.
 CARRIED_URGENCY = 8
 
@@ -69,6 +70,7 @@
         self._lister = lister
         self._on_text_complete = on_text_complete
         self._wake = wake
+        self._log_waiting_at = float("-inf")
 
     def start_runs(self, group: anyio.abc.TaskGroup) -> None:
         """Assign waiting items to free slots and start their runs, carried items after all others."""
@@ -83,6 +85,20 @@
             )
             for assignment in assignments:
                 self._start(group, assignment, now)
+            if len(assignments) < len(waiting):
+                self._log_waiting(len(waiting) - len(assignments), now)
+
+    def _log_waiting(self, num_waiting: int, now: float) -> None:
+        """Log how many items wait, and the slots in use by party, at most once in a while."""
+        if now < self._log_waiting_at:
+            return
+        self._log_waiting_at = now + LOG_WAITING_EVERY_S
+        by_party = self._items.num_running_by_party()
+        logger.info(
+            "items_wait",
+            num_waiting=num_waiting,
+            num_running=",".join(f"{party.tenant}/{party.model}:{num}" for party, num in by_party.items()),
+        )
 
     def _start(self, group: anyio.abc.TaskGroup, assignment: Assignment, now: float) -> None:
         work = self._items.works[assignment.key]
--- a/src/worksramp/rollout/owner_context.py
+++ b/src/worksramp/rollout/owner_context.py
@@ -49,6 +49,7 @@
         time_of_day: returns the time in seconds that batches are stamped with.
         on_run_ended: called with the class name of each run's outcome.
         on_scoring_ended: called with the class name of each scoring call's outcome.
+        on_moved: called with the reason of each move of an item to another worker.
         on_listed: called at each listing with the age of the batch in seconds.
     """
 
@@ -68,3 +69,4 @@
     on_run_ended: Callable[[str], None] = _ignore
     on_scoring_ended: Callable[[str], None] = _ignore
     on_listed: Callable[[float], None] = _ignore
+    on_moved: Callable[[str], None] = _ignore
--- a/src/worksramp/rollout/run_watch.py
+++ b/src/worksramp/rollout/run_watch.py
@@ -1,5 +1,7 @@
 """Detects stuck runs and runs at slow workers, and moves their items to other workers."""
 
+from collections.abc import Callable
+
 import anyio
 import structlog
 
@@ -24,8 +26,15 @@
 class RunWatch:
     """Closes runs whose items end sooner at another worker; the items wait for a slot with their texts."""
 
-    def __init__(self, items: OpenItems, pace: PaceTracker, failures: FailureTracker) -> None:
+    def __init__(
+        self,
+        items: OpenItems,
+        pace: PaceTracker,
+        failures: FailureTracker,
+        on_moved: Callable[[str], None],
+    ) -> None:
         self._items = items
+        self._on_moved = on_moved
         self._pace = pace
         self._failures = failures
 
@@ -118,6 +127,7 @@
 
     def _move(self, work: ItemWork, run: Run, reason: str, now: float) -> None:
         run.is_moving = True
+        self._on_moved(reason)
         work.avoid(run.worker_id, now + 2 * MIN_SECONDS_BETWEEN_MOVES)
         logger.info(
             "item_moved",
--- a/src/worksramp/routing/forward.py
+++ b/src/worksramp/routing/forward.py
@@ -87,6 +87,7 @@
         on_begun: called with the tenant of each request that a worker began to run, and the seconds since
             then.
         quarantine: quarantine of the node; None creates one that covers only the requests forwarded here.
+        on_no_room: called for each request that is refused because no worker can answer it in time.
     """
 
     def __init__(
@@ -98,11 +99,13 @@
         node: str = "",
         quarantine: Quarantine | None = None,
         on_begun: BeginObserver | None = None,
+        on_no_room: Callable[[], None] = lambda: None,
     ) -> None:
         self._port = port
         self._quarantine = quarantine or Quarantine(port, directory, node)
         self._on_outcome = on_outcome
         self._on_begun = on_begun
+        self._on_no_room = on_no_room
         self._choice = WorkerChoice(directory, rng, node)
         self._rng = rng
         self._num_in_flight: Counter[str] = Counter()
@@ -182,6 +185,7 @@
         )
         if isinstance(decision, Admitted):
             return None
+        self._on_no_room()
         logger.info(
             "request_refused_for_load",
             request_id=request.request_id,
