--- a/src/worksramp/rollout/move_gain.py
+++ b/src/worksramp/rollout/move_gain.py
@@ -15,7 +15,7 @@
 from dataclasses import dataclass
 
 from worksramp.mechanisms import MECHANISMS, mechanism
-from worksramp.rollout.batch_schedule import WaitingItem, WorkerView, may_run, rank
+from worksramp.rollout.batch_schedule import rank
 from worksramp.rollout.fast_slots import (
     FAST_PACE_RATIO,
     FastSlots,
@@ -24,6 +24,7 @@
     fast_slots,
     gain_of_waiting_s,
 )
+from worksramp.rollout.schedule_views import WaitingItem, WorkerView, may_run
 
 #: A move opens a new connection, and the new worker has to read the prompt and the text so far.
 MOVE_COST_S = 0.1
--- a/src/worksramp/rollout/open_items.py
+++ b/src/worksramp/rollout/open_items.py
@@ -7,11 +7,11 @@
 import anyio
 
 from worksramp.mechanisms import mechanism
-from worksramp.rollout.batch_schedule import WaitingItem, WorkerView
 from worksramp.rollout.fair_shares import Party
 from worksramp.rollout.item_work import ItemKey, ItemWork
 from worksramp.rollout.owner_context import OwnerContext
 from worksramp.rollout.pace import PaceTracker
+from worksramp.rollout.schedule_views import WaitingItem, WorkerView
 from worksramp.rollout.text_length import TextLengths
 from worksramp.rollout.worker_memory import MemoryShares, RunMemory, is_dropped, is_too_large
 from worksramp.routing.failure_tracker import FailureTracker
--- a/tests/unit/schedule_replay.py
+++ b/tests/unit/schedule_replay.py
@@ -4,13 +4,14 @@
 from collections import defaultdict
 from dataclasses import dataclass, field
 
-from worksramp.rollout.batch_schedule import WaitingItem, WorkerView, assign, rank
+from worksramp.rollout.batch_schedule import assign, rank
 from worksramp.rollout.move_gain import MoveEstimator, RunView
 from worksramp.rollout.pace import PaceTracker
 from worksramp.rollout.run_watch import (
     MAX_MOVES_PER_TICK,
     MIN_SECONDS_BETWEEN_MOVES,
 )
+from worksramp.rollout.schedule_views import WaitingItem, WorkerView
 from worksramp.rollout.text_length import TextLengths
 
 TICK_S = 0.05
--- a/tests/unit/test_batch_decisions.py
+++ b/tests/unit/test_batch_decisions.py
@@ -14,10 +14,11 @@
     may_order,
 )
 from worksramp.rollout.batch_run import TextBuilder
-from worksramp.rollout.batch_schedule import WaitingItem, WorkerView, assign, pace_tier
+from worksramp.rollout.batch_schedule import assign, pace_tier
 from worksramp.rollout.batches import BatchItem, Score
 from worksramp.rollout.item_work import ItemWork, longer_text
 from worksramp.rollout.pace import PaceTracker
+from worksramp.rollout.schedule_views import WaitingItem, WorkerView
 from worksramp.routing.events import StreamEvent
 from worksramp.routing.failure_tracker import FailureTracker
 from worksramp.routing.table import Route, RouteKind, SplitPart
--- a/tests/unit/test_closing_runs.py
+++ b/tests/unit/test_closing_runs.py
@@ -13,8 +13,8 @@
 import pytest
 
 from worksramp.logs import configure_logs
-from worksramp.rollout.batch_schedule import WaitingItem, WorkerView
 from worksramp.rollout.move_gain import MoveEstimator, RunView
+from worksramp.rollout.schedule_views import WaitingItem, WorkerView
 from worksramp.routing.worker_port import WorkerAnswer, WorkerRequest
 from worksramp.routing.workers import WorkerEntry
 from worksramp_emulator.batch_fleet import FleetPort
--- a/tests/unit/test_fair_shares.py
+++ b/tests/unit/test_fair_shares.py
@@ -11,8 +11,9 @@
 import pytest
 
 from worksramp.mechanisms import MECHANISMS
-from worksramp.rollout.batch_schedule import WaitingItem, WorkerView, assign
+from worksramp.rollout.batch_schedule import assign
 from worksramp.rollout.fair_shares import MAX_PRIORITY_WAIT_S, Party, order_by_shares
+from worksramp.rollout.schedule_views import WaitingItem, WorkerView
 
 LARGE, SMALL, OTHER = Party("large"), Party("small"), Party("other")
 
--- a/tests/unit/test_slow_workers_under_load.py
+++ b/tests/unit/test_slow_workers_under_load.py
@@ -15,9 +15,10 @@
 
 from tests.unit.schedule_replay import MAX_EVENTS, NORMAL_PACE_S, Replay, Worker
 from worksramp.mechanisms import MECHANISMS
-from worksramp.rollout.batch_schedule import WaitingItem, WorkerView, assign
+from worksramp.rollout.batch_schedule import assign
 from worksramp.rollout.fast_slots import FastSlots, SlotUse, fast_slots, gain_of_waiting_s
 from worksramp.rollout.pace import MAX_AGE_SECONDS, PaceTracker
+from worksramp.rollout.schedule_views import WaitingItem, WorkerView
 
 SEEDS = range(4)
 #: Time of the longest text at a worker of normal speed.
--- a/tests/unit/test_worker_memory.py
+++ b/tests/unit/test_worker_memory.py
@@ -10,7 +10,8 @@
 import pytest
 
 from worksramp.mechanisms import MECHANISMS
-from worksramp.rollout.batch_schedule import OLD_BATCH_SECONDS, WaitingItem, WorkerView, assign
+from worksramp.rollout.batch_schedule import OLD_BATCH_SECONDS, assign
+from worksramp.rollout.schedule_views import WaitingItem, WorkerView
 from worksramp.rollout.worker_memory import (
     INITIAL_SHARE,
     MIN_SHARE,
