Runs at a worker that goes silent while it loads are moved, and an owner checks runs twenty times a second

Runs go on during loads, so they are checked there too, with twice the limit, and a worker that leaves two reports in a row unanswered no longer counts as loading.

--- a/src/worksramp/rollout/open_items.py
+++ b/src/worksramp/rollout/open_items.py
@@ -21,6 +21,8 @@
 
 #: The largest of this many latest steps is the estimate of the next step's size.
 NUM_REMEMBERED_STEPS = 3
+#: Estimates of texts that are no longer open are kept up to this many more than twice the open items.
+MIN_REMEMBERED_ESTIMATES = 64
 
 
 @dataclass(slots=True)
@@ -52,6 +54,8 @@
         self.loading: dict[str, str] = {}
         self.active_workers: frozenset[str] | None = None
         self.lengths = TextLengths()
+        #: Number of events at the last estimate of each text's rest, and that estimate.
+        self._events_left: dict[ItemKey, tuple[int, float]] = {}
         self.memory_shares = MemoryShares()
         self._step_sizes: dict[str, deque[int]] = {}
 
@@ -96,8 +100,16 @@
 
     def events_left(self, work: ItemWork) -> float:
         """Return how many more events the text of an item is expected to have."""
+        num_made = len(work.text.pieces)
+        known = self._events_left.get(work.key)
+        if known is not None and known[0] == num_made:
+            return known[1]
         num_hinted = work.num_hinted_events(self.tokens_per_event(work))
-        return self.lengths.events_left(work.model, num_hinted, len(work.text.pieces))
+        num_left = self.lengths.events_left(work.model, num_hinted, num_made)
+        if len(self._events_left) > 2 * len(self.works) + MIN_REMEMBERED_ESTIMATES:
+            self._events_left.clear()
+        self._events_left[work.key] = (num_made, num_left)
+        return num_left
 
     def most_events_left(self, work: ItemWork) -> float:
         """Return how many more events the text of an item has at most, but for rare cases."""
--- a/src/worksramp/rollout/run_watch.py
+++ b/src/worksramp/rollout/run_watch.py
@@ -15,7 +15,12 @@
 STUCK_FACTOR = 10.0
 MIN_STUCK_SECONDS = 0.7
 FIRST_EVENT_SECONDS = 1.2
+#: Runs go on while their worker loads weights, but may pause for longer. A worker that has gone silent may
+#: count as loading for many seconds.
+LOADING_FACTOR = 2.0
 MIN_SECONDS_BETWEEN_MOVES = 0.4
+#: The owner's loop runs at every event of its work, far more often than runs need to be checked.
+CHECK_EVERY_S = 0.05
 MAX_MOVES_PER_TICK = 2
 #: Longest time that a slot is kept for an item whose run at another worker is being closed.
 RESERVED_S = 0.5
@@ -35,19 +40,20 @@
     ) -> None:
         self._items = items
         self._on_moved = on_moved
+        self._checked_at = float("-inf")
         self._pace = pace
         self._failures = failures
 
     def check_runs(self) -> None:
-        """Check all runs once and close those that are to be moved."""
+        """Check all runs, unless that was done just now, and close those that are to be moved."""
         now = anyio.current_time()
+        if now - self._checked_at < CHECK_EVERY_S:
+            return
+        self._checked_at = now
         running = [
             (work, work.run)
             for work in self._items.works.values()
-            if work.run is not None
-            and not work.run.is_moving
-            and not work.text.is_whole
-            and work.run.worker_id not in self._items.loading
+            if work.run is not None and not work.run.is_moving and not work.text.is_whole
         ]
         typical = self._pace.typical_seconds(now)
         for work, run in running:
@@ -70,6 +76,8 @@
     def _is_stuck(self, run: Run, typical: float | None, now: float) -> bool:
         """Treat a run without events for a long time as stuck, and resume its item at another worker."""
         silent = now - run.last_event_at
+        if run.worker_id in self._items.loading:
+            silent /= LOADING_FACTOR
         if run.num_events == 0:
             return silent > FIRST_EVENT_SECONDS
         return silent > max(MIN_STUCK_SECONDS, STUCK_FACTOR * (typical or 0.0))
@@ -81,6 +89,7 @@
             (work, run)
             for work, run in running
             if not work.is_carried
+            and run.worker_id not in self._items.loading
             and now - run.started_at >= MIN_SECONDS_BETWEEN_MOVES
             and self._pace.is_slower_than_fast(run.worker_id, now)
         ]
--- a/src/worksramp/weights/version_mover.py
+++ b/src/worksramp/weights/version_mover.py
@@ -32,6 +32,8 @@
 POLL_SECONDS = 0.1
 #: Steps wait for loads, so the end of a load is polled often, for three seconds in all.
 MAX_POLLS = 30
+#: A worker that answers none of this many reports in a row may have ended, and does not count as loading.
+MAX_SILENT_POLLS = 2
 PAUSE_AFTER_FAILURE_SECONDS = 0.5
 #: In a fleet with more workers, only the homes get work, reports and orders, so that an owner's connections
 #: and decisions grow with its steps and not with the fleet.
@@ -265,8 +267,12 @@
         )
 
     async def _wait_until_loaded(self, state: WorkerState, move: Move) -> bool:
+        num_silent = 0
         for _ in range(MAX_POLLS):
             report = await self.context.port.report(state.entry)
+            num_silent = num_silent + 1 if report is None else 0
+            if num_silent == MAX_SILENT_POLLS:
+                return False
             if report is not None:
                 self._record_versions(state, report)
                 if not report.is_busy:
