--- a/src/worksramp/rollout/fair_shares.py
+++ b/src/worksramp/rollout/fair_shares.py
@@ -26,9 +26,7 @@
     """A trainer, of one tenant where there are tenants.
 
     Attributes:
-        priority: priority of its tenant and, among those, of its route. 0 is the highest, and items of a
-        higher
-            one go first.
+        priority: priority of its tenant and, among those, of its route; 0 is the highest, which goes first.
     """
 
     tenant: str = ""
