--- a/review/1/case.py
+++ b/review/1/case.py
@@ -12,12 +12,16 @@
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
 from standins import (
+    ATTEMPT_ID,
+    HEADERS,
+    WIRE,
     Connection,
     Deployment,
     Node,
     Record,
     Request,
     Worker,
+    camel,
     chunk,
     configuration,
     has_trouble,
@@ -47,13 +51,13 @@
 READ_EVERY_S = 0.5
 LIMIT_S = 115.0
 CONFIG = configuration(
-    [route("r-drafts", "/pufi791/", "generation", "fleet", runTargetMs=7500, keepS=40.0, resumable=True)],
+    [route("r-drafts", "/pufi791/", "generation", "fleet", run_target_ms=7500, keep_s=40.0, resumable=True)],
     [
         {
             "name": "fleet",
             "healthPath": "/healthz",
             "maxConns": 150,
-            "engine": {"slots": SLOTS, "kvCapacity": 114759, "stride": 58, "models": [{"name": MODEL}]},
+            "engine": camel(slots=SLOTS, kv_capacity=114759, stride=58, models=[{"name": MODEL}]),
         }
     ],
 )
@@ -128,14 +132,14 @@
         first = int(request.headers.get("last-event-id", "0")) + 1
         version = self._stages[-1].version
         fields = {**self.own_headers(request_id), "Content-Type": "text/event-stream"}
-        fields |= {"X-Worksramp-Weight-Versions": str(version), "Transfer-Encoding": "chunked"}
+        fields |= {HEADERS["versions"]: str(version), "Transfer-Encoding": "chunked"}
         writer.write(head(200, fields))
         for number in range(first, NUM_EVENTS + 1):
             await asyncio.sleep(EVENT_S)
             event = f"id: {number}\ndata: piece {number} of {request_id}\n\n"
             if self._stages[-1].version != version:
                 version = self._stages[-1].version
-                event = f"x-worksramp-weight-versions:{version}\n{event}"
+                event = f"{HEADERS['versions'].lower()}:{version}\n{event}"
             writer.write(chunk(event.encode()))
             await writer.drain()
         writer.write(chunk(b""))
@@ -206,7 +210,7 @@
     async def submit(self, step: int) -> None:
         """Submit a batch job, at the next node after each refusal."""
         name = f"job{step:04x}"
-        fields = {"X-Worksramp-Attempt-Id": name, "Content-Type": "application/json"}
+        fields = {ATTEMPT_ID: name, "Content-Type": "application/json"}
         for attempt in range(3 * NUM_NODES):
             node = self._deployment.nodes[(step + attempt) % NUM_NODES]
             answer = await Connection(node.front).exchange("POST", "/pufi791/1", fields, batch_job(step))
@@ -219,7 +223,9 @@
 
     def name_version(self, version: int) -> None:
         """Name the next version of the weights."""
-        self._deployment.store.put("keyed.op", f"version/{MODEL}", {"model": MODEL, "version": version})
+        self._deployment.store.put(
+            WIRE["topics"]["operator"], f"version/{MODEL}", {"model": MODEL, "version": version}
+        )
         self._deployment.record.add("trainer", f"names version {version}")
 
     async def read(self, node: Node) -> None:
@@ -227,7 +233,9 @@
         while True:
             await asyncio.sleep(READ_EVERY_S)
             for name in self._jobs[-4:]:
-                answer = await Connection(node.front).exchange("GET", f"/api/lots/{name}?afterRev=0", {})
+                answer = await Connection(node.front).exchange(
+                    "GET", WIRE["paths"]["results"].format(name=name), {}
+                )
                 if answer is not None and answer.is_whole and answer.status == 200:
                     self._note(name, node, json.loads(answer.body)["results"])
 
@@ -249,7 +257,7 @@
         {
             "id": f"{step:04x}{group:04x}{number:04x}beef",
             "path": f"/pufi791/3/{group}",
-            "headers": {"X-Worksramp-Model": MODEL, "X-Worksramp-Token-Count": "1016,986"},
+            "headers": {HEADERS["model"]: MODEL, HEADERS["token_count"]: "1016,986"},
             "body": base64.b64encode(b"prompt").decode(),
             "tokens": 2002,
             "group": f"g{step}-{group}",
@@ -257,7 +265,7 @@
         for group in range(NUM_GROUPS)
         for number in range(GROUP_SIZE)
     ]
-    job = {"step": step, "model": MODEL, "minVersion": max(1, step), "desired": NUM_GROUPS, "items": items}
+    job = camel(step=step, model=MODEL, min_version=max(1, step), desired=NUM_GROUPS, items=items)
     return json.dumps(job).encode()
 
 
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -8,6 +8,8 @@
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
 from standins import (
+    ATTEMPT_ID,
+    DEADLINE_MS,
     Connection,
     Deployment,
     Node,
@@ -34,12 +36,12 @@
 PAUSE_S = 0.05
 LENGTH_S = 30.0
 LIMIT_S = 100.0
-DEADLINE_MS = 3000
+ALLOWED_MS = 3000
 PATHS = ("/lohu930/1", "/pago17/1")
 CONFIG = configuration(
     [
-        route("r-stream", "/lohu930/", "streaming", "desk", timeoutMs=4000, maxAttempts=3, resumable=False),
-        route("r-once", "/pago17/", "streaming", "desk", timeoutMs=4000, maxAttempts=1, resumable=False),
+        route("r-stream", "/lohu930/", "streaming", "desk", timeout_ms=4000, max_attempts=3, resumable=False),
+        route("r-once", "/pago17/", "streaming", "desk", timeout_ms=4000, max_attempts=1, resumable=False),
     ],
     [{"name": "desk", "healthPath": "/healthz", "maxConns": 96}],
 )
@@ -92,7 +94,7 @@
     while loop.time() < ends_at:
         await asyncio.sleep(PAUSE_S)
         request_id, count = f"{node.name}-{number}-{count:04}", count + 1
-        fields = {"X-Worksramp-Attempt-Id": request_id, "X-Worksramp-Deadline-Ms": str(DEADLINE_MS)}
+        fields = {ATTEMPT_ID: request_id, DEADLINE_MS: str(ALLOWED_MS)}
         answer = await connection.exchange("POST", PATHS[number % 2], fields, b"{}")
         statuses[request_id] = 0 if answer is None else answer.status
         deployment.record.add(
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -8,6 +8,8 @@
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
 from standins import (
+    ATTEMPT_ID,
+    DEADLINE_MS,
     Connection,
     Deployment,
     Node,
@@ -26,7 +28,7 @@
 WORK_S = 0.19
 NUM_CLIENTS = 4
 PAUSE_S = 0.05
-DEADLINE_MS = 2000
+ALLOWED_MS = 2000
 #: Nodes are stopped in turn; the settings file of a stopping node changes this long after its SIGTERM.
 STOP_EVERY_S = 6.0
 CHANGE_AFTER_S = 1.0
@@ -37,8 +39,8 @@
 LIMIT_S = 100.0
 CONFIG = configuration(
     [
-        route("r-order", "/lohu930/", "idempotent", "desk", timeoutMs=2000, sloMs=192, maxAttempts=2),
-        route("r-pay", "/pago17/", "non_idempotent", "desk", timeoutMs=2000, sloMs=192, maxAttempts=2),
+        route("r-order", "/lohu930/", "idempotent", "desk", timeout_ms=2000, slo_ms=192, max_attempts=2),
+        route("r-pay", "/pago17/", "non_idempotent", "desk", timeout_ms=2000, slo_ms=192, max_attempts=2),
     ],
     [{"name": "desk", "healthPath": "/healthz", "maxConns": 96}],
 )
@@ -73,7 +75,7 @@
             if self.is_out and not connection.is_open:
                 continue
             request_id, count = f"{self._node.name}-{number}-{count:04}", count + 1
-            fields = {"X-Worksramp-Attempt-Id": request_id, "X-Worksramp-Deadline-Ms": str(DEADLINE_MS)}
+            fields = {ATTEMPT_ID: request_id, DEADLINE_MS: str(ALLOWED_MS)}
             answer = await connection.exchange("POST", PATHS[number % 2], fields, b"{}")
             is_begun = self._deployment.num_begun(request_id) > 0
             if answer is not None and answer.is_whole:
--- a/review/standins.py
+++ b/review/standins.py
@@ -8,6 +8,7 @@
 import contextlib
 import json
 import os
+import re
 import shutil
 import signal
 import socket
@@ -23,6 +24,10 @@
 from urllib.parse import parse_qsl
 
 ROOT = Path(__file__).resolve().parents[1]
+#: Names of the platform's protocol.
+WIRE = json.loads((Path(__file__).parent / "wire.json").read_text(encoding="utf-8"))
+HEADERS: dict[str, str] = WIRE["headers"]
+ATTEMPT_ID, DEADLINE_MS = HEADERS["attempt_id"], HEADERS["deadline_ms"]
 START = ROOT / "target" / "deps" / "start.py"
 HELD, BROKEN, CANNOT_RUN = 0, 1, 2
 #: The platform starts a process that has ended again after this delay.
@@ -107,6 +112,10 @@
     headers: dict[str, str]
     body: bytes
 
+    def header(self, name: str) -> str:
+        """Return a header of the platform by its name in ``HEADERS``, empty if it is absent."""
+        return self.headers.get(HEADERS[name].lower(), "")
+
     @property
     def query(self) -> dict[str, str]:
         """Return the fields of the query."""
@@ -224,7 +233,7 @@
 
 
 class Store:
-    """The platform's store: log-append, log-read and log-newest of keyed topics."""
+    """The platform's store: appends to keyed topics, reads of their records and of the newest of each key."""
 
     def __init__(self) -> None:
         self.server = Server(self._handle)
@@ -259,7 +268,7 @@
         query = request.query
         partition = self._partition(query["topic"], query["part"])
         call = request.target.partition("?")[0].rpartition("/")[2]
-        if call == "log-append":
+        if call == WIRE["store_calls"]["append"]:
             delay_s = None if self.lost is None else self.lost.delay_s(query)
             if delay_s is not None:
                 self._late.add(
@@ -272,9 +281,9 @@
             if self.lost is not None and status == 200:
                 self.lost.note_taken(query)
             writer.write(whole(status, json.dumps(answer).encode()))
-        elif call == "log-read":
+        elif call == WIRE["store_calls"]["read"]:
             writer.write(whole(200, await self._do_read(partition, query)))
-        elif call == "log-newest":
+        elif call == WIRE["store_calls"]["newest"]:
             writer.write(whole(200, json.dumps(self._do_newest(partition, query)).encode()))
         else:
             writer.write(whole(404))
@@ -329,7 +338,7 @@
         return b"".join(parts)
 
     def _do_newest(self, partition: Partition, query: dict[str, str]) -> dict[str, Any]:
-        keys = sorted(key for key in partition.newest if key > query.get("afterRev", ""))
+        keys = sorted(key for key in partition.newest if key > query.get(WIRE["newest_after"], ""))
         items = [
             {"key": key, "offset": offset, "value": base64.b64encode(value).decode()}
             for key in keys[:NEWEST_PAGE]
@@ -371,7 +380,7 @@
     async def run(self) -> None:
         """Start the process, and start it again each time it ends, until it is killed."""
         environment = {name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ}
-        environment["WORKSRAMP_CONFIG"] = str(self._settings)
+        environment[WIRE["settings_variable"]] = str(self._settings)
         while not self._is_killed:
             with self._log.open("ab") as log:
                 self.process = await asyncio.create_subprocess_exec(
@@ -417,7 +426,7 @@
         """Ask the node whether new clients may come, as the platform does."""
         try:
             async with asyncio.timeout(READY_POLL_S):
-                answer = await Connection(self.ready).exchange("GET", "/api/readyz", {})
+                answer = await Connection(self.ready).exchange("GET", WIRE["paths"]["ready"], {})
         except TimeoutError:
             return False
         return answer is not None and answer.status == 200
@@ -549,9 +558,9 @@
     def own_headers(self, request_id: str) -> dict[str, str]:
         """Return the headers of each answer to a request that was run."""
         return {
-            "X-Worksramp-Attempt-Id": request_id,
-            "X-Worksramp-Server-Stamp": f"{self.worker_id}.{request_id}",
-            "X-Worksramp-Server-Load": f"{self.num_running},0,{self.slots}",
+            ATTEMPT_ID: request_id,
+            HEADERS["stamp"]: f"{self.worker_id}.{request_id}",
+            HEADERS["load"]: f"{self.num_running},0,{self.slots}",
         }
 
     def report(self) -> dict[str, Any]:
@@ -568,16 +577,16 @@
 
     async def _handle(self, request: Request, writer: asyncio.StreamWriter) -> bool:
         is_open = True
-        if request.headers.get("x-worksramp-expect-instance") != self.worker_id:
-            writer.write(whole(421, headers={"X-Worksramp-Instance-Id": self.worker_id}))
+        if request.header("expect_instance") != self.worker_id:
+            writer.write(whole(421, headers={HEADERS["instance_id"]: self.worker_id}))
         elif (answer := self.answer_call(request)) is not None:
             writer.write(answer)
         elif self.num_running >= self.slots:
-            fields = {"X-Worksramp-Not-Executed": "1"}
-            fields["X-Worksramp-Attempt-Id"] = request.headers["x-worksramp-attempt-id"]
+            fields = {HEADERS["not_executed"]: "1"}
+            fields[ATTEMPT_ID] = request.header("attempt_id")
             writer.write(whole(503, headers=fields))
         else:
-            request_id = request.headers["x-worksramp-attempt-id"]
+            request_id = request.header("attempt_id")
             self.begun[request_id] += 1
             self.num_running += 1
             try:
@@ -589,10 +598,15 @@
         return is_open
 
 
+def camel(**fields: Any) -> dict[str, Any]:
+    """Return fields under the names that bodies give them: words joined, each but the first capitalised."""
+    return {re.sub("_([a-z])", lambda match: match[1].upper(), name): value for name, value in fields.items()}
+
+
 def route(name: str, path_prefix: str, kind: str, service: str, **fields: Any) -> dict[str, Any]:
     """Return a route of the configuration."""
-    common = {"name": name, "host": HOST, "pathPrefix": path_prefix, "type": kind, "service": service}
-    return {**common, "timeoutMs": 10000, "sloMs": 400, "maxAttempts": 3, "priority": 1, **fields}
+    common = {"name": name, "host": HOST, "path_prefix": path_prefix, "type": kind, "service": service}
+    return camel(**{**common, "timeout_ms": 10000, "slo_ms": 400, "max_attempts": 3, "priority": 1, **fields})
 
 
 def configuration(routes: list[dict[str, Any]], services: list[dict[str, Any]]) -> dict[str, Any]:
@@ -617,8 +631,10 @@
         await self.store.server.start()
         for number, worker in enumerate(self.workers):
             await worker.server.start()
-            self.store.put("keyed.servers", worker.worker_id, worker.entry(f"zone-{1 + number % 3}"))
-        self.store.put("keyed.op", "config", config)
+            self.store.put(
+                WIRE["topics"]["workers"], worker.worker_id, worker.entry(f"zone-{1 + number % 3}")
+            )
+        self.store.put(WIRE["topics"]["operator"], "config", config)
         self._running = [asyncio.ensure_future(node.run()) for node in self.nodes]
         for node in self.nodes:
             await node.wait_ready()
