--- a/review/1/case.py
+++ b/review/1/case.py
@@ -38,6 +38,8 @@
 LOAD_S = 0.9
 #: Reports tell things "as they stood some hundred ms earlier".
 REPORT_AGE_S = 0.3
+#: From a change to the heartbeat that writes it into the store, at most `heartbeatMs`.
+BEAT_S = 0.6
 #: `platform_lost`, late: answers are lost for 4 to 6.4 s in the small deployments, and what they were to
 #: answer is "done 1 to 6 s later". Losses end this long after the second write under a condition was taken.
 TROUBLE_S = 6.0
@@ -45,7 +47,7 @@
 END_AFTER_S = 0.2
 #: From the start of an attempt to the trouble, and to the first version that the trainer names.
 TROUBLE_AT_S, NAMED_AT_S = 4.0, 13.5
-NAME_EVERY_S, NUM_VERSIONS = 2.0, 3
+NAME_EVERY_S, NUM_VERSIONS = 4.0, 2
 NUM_ATTEMPTS = 4
 NUM_GROUPS, GROUP_SIZE = 12, 4
 READ_EVERY_S = 0.5
@@ -86,11 +88,17 @@
     def _enter(self, version: int, num_orders: int, is_loading: bool) -> None:
         now = asyncio.get_running_loop().time()
         self._stages.append(WorkerStage(now, version, num_orders, is_loading))
+        asyncio.get_running_loop().call_later(BEAT_S, self.publish)
+
+    def is_busy(self) -> bool:
+        """Return whether a request is rejected now: no slot is free, or an order is under way."""
+        return super().is_busy() or self._stages[-1].is_loading
 
     def entry(self, zone: str) -> dict[str, Any]:
         """Return what the worker says of itself in the store."""
-        models = [{"name": MODEL, "version": 1, "adapters": []}]
-        return {**super().entry(zone), "stage": "both", "models": models}
+        stage = self._stages[-1]
+        models = [{"name": MODEL, "version": stage.version, "adapters": []}]
+        return {**super().entry(zone), "stage": "both", "models": models, "seq": stage.num_orders}
 
     def report(self) -> dict[str, Any]:
         """Return the worker's report, as things stood some hundred ms earlier."""
@@ -228,6 +236,18 @@
         )
         self._deployment.record.add("trainer", f"names version {version}")
 
+    async def end(self, step: int) -> None:
+        """End a batch job, at the next node after each refusal."""
+        path = WIRE["paths"]["batch_job"].format(name=f"job{step:04x}")
+        for attempt in range(3 * NUM_NODES):
+            node = self._deployment.nodes[(step + attempt) % NUM_NODES]
+            answer = await Connection(node.front).exchange("DELETE", path, {})
+            status = None if answer is None else answer.status
+            self._deployment.record.add("trainer", f"ends job{step:04x} at {node.name}: {status}")
+            if status == 200:
+                break
+            await asyncio.sleep(0.3)
+
     async def read(self, node: Node) -> None:
         """Read the results of all batch jobs from the start again and again, until cancelled."""
         while True:
@@ -277,6 +297,7 @@
         lost.start()
     await asyncio.sleep(NAMED_AT_S - TROUBLE_AT_S)
     for number in range(1, NUM_VERSIONS + 1):
+        await trainer.end(number - 1)
         trainer.name_version(number + 1)
         await asyncio.sleep(NAME_EVERY_S / 2)
         await trainer.submit(number)
