Lease: the calls of a claim are decided apart from their I/O

What a claimant does between its decision to claim and its first order stood in three places (BatchShard._claim, FencedWriter.begin and BatchShard._run_as_owner) that only a running node could execute, so no test could go through the orders in which the store may do their calls.

`LeaseClaim` now takes outcomes and returns steps (append, read, won, lost); `claim_lease` carries them out. `next_epoch`, `newer_owner`, `is_overtaken` and `is_lease_refused` name the decisions that were written out in the shard and the writer. The emulator's rules for conditions and fences are a partition without clock or tasks.

--- a/src/worksramp/coordination/fenced_writer.py
+++ b/src/worksramp/coordination/fenced_writer.py
@@ -7,12 +7,12 @@
 import structlog
 
 from worksramp.coordination.elapsed import ElapsedClock, monotonic_s
-from worksramp.coordination.log_lease import OWNER_KEY, OWNER_PRODUCER, OwnerRecord
+from worksramp.coordination.lease_claim import HeldLease
+from worksramp.coordination.log_lease import OWNER_KEY, OWNER_PRODUCER, OwnerRecord, is_lease_refused
 from worksramp.coordination.shared_log import (
     Appended,
     AppendOutcome,
     Fence,
-    FencedOff,
     KeyedRecord,
     NothingDone,
     OutcomeOpen,
@@ -41,7 +41,7 @@
     """Queue of an owner's records, which also renews its lease.
 
     Args:
-        claimed: the owner record of the claim; `begin` appends it again as sequence 0 of the epoch.
+        held: the lease as claimed; the first append follows the last one of the claim.
         renewal_seconds: pause between renewals.
         clock: measures the age of the lease.
     """
@@ -50,14 +50,15 @@
         self,
         log: SharedLog,
         partition: Partition,
-        claimed: OwnerRecord,
+        held: HeldLease,
         renewal_seconds: float,
         clock: ElapsedClock = monotonic_s,
     ) -> None:
         self._log = log
         self._partition = partition
+        claimed = held.owner
         self._owner = claimed
-        self._sequence = -1
+        self._sequence = held.sequence
         self._queue: deque[KeyedRecord] = deque()
         self._renewal_seconds = renewal_seconds
         self._append_requested = anyio.Event()
@@ -70,7 +71,7 @@
         self._appended = anyio.Event()
         self._renewal_written_at = float("-inf")
         self._clock = clock
-        self._renewed_at = clock()
+        self._renewed_at = held.renewed_at_s
 
     def renewal_age_s(self) -> float:
         """Return the seconds since the last successful append was started.
@@ -105,18 +106,6 @@
         while self._announced_orders < announced:
             await self._appended.wait()
 
-    async def begin(self) -> int:
-        """Append the owner record, so that the store refuses lower epochs from now on.
-
-        Returns:
-            The end of the partition after the append.
-
-        Raises:
-            OwnershipLostError: the store refused the append, for instance because it has seen a higher epoch.
-        """
-        self._sequence += 1
-        return await self._append_until_known((KeyedRecord(OWNER_KEY, encode(self._owner)),))
-
     async def run(self) -> None:
         """Append queued records and renew the lease, until it is released.
 
@@ -195,18 +184,15 @@
             if isinstance(outcome, Appended):
                 self._renewed_at = started
                 return outcome.end
-            if isinstance(outcome, (NothingDone, OutcomeOpen)):
-                logger.info(
-                    "owner_append_again",
-                    epoch=fence.epoch,
-                    sequence=fence.sequence,
-                    num_records=len(batch),
-                    reason=outcome.reason,
-                )
-                await anyio.sleep(pause * random.uniform(0.5, 1.0))
-                pause = min(2 * pause, MAX_RETRY_PAUSE_SECONDS)
-                continue
-            logger.warning("owner_lost", epoch=fence.epoch, sequence=fence.sequence, outcome=str(outcome))
-            raise OwnershipLostError(
-                type(outcome).__name__ if isinstance(outcome, FencedOff) else str(outcome)
+            if is_lease_refused(outcome):
+                logger.warning("owner_lost", epoch=fence.epoch, sequence=fence.sequence, outcome=str(outcome))
+                raise OwnershipLostError(str(outcome))
+            logger.info(
+                "owner_append_again",
+                epoch=fence.epoch,
+                sequence=fence.sequence,
+                num_records=len(batch),
+                reason=outcome.reason if isinstance(outcome, (NothingDone, OutcomeOpen)) else "",
             )
+            await anyio.sleep(pause * random.uniform(0.5, 1.0))
+            pause = min(2 * pause, MAX_RETRY_PAUSE_SECONDS)
--- a/src/worksramp/coordination/log_lease.py
+++ b/src/worksramp/coordination/log_lease.py
@@ -11,6 +11,8 @@
 
 import msgspec
 
+from worksramp.coordination.shared_log import Appended, AppendOutcome, NothingDone, OutcomeOpen
+
 OWNER_KEY = "owner"
 OWNER_PRODUCER = "owner"
 #: Machines with at least this many cores choose their claim delay at random from the same range.
@@ -135,19 +137,52 @@
     if view.replica_age > times.max_replica_age:
         # With a stale copy, a missing renewal may be due to the store rather than to the owner.
         return DeferClaim("copy_not_fresh")
+    epoch = next_epoch(view.owner)
     if view.owner is None:
         waited = now - view.owner_changed_at
-        return ClaimLease(1) if waited >= view.jitter else DeferClaim("jitter")
+        return ClaimLease(epoch) if waited >= view.jitter else DeferClaim("jitter")
     if view.is_own_machine:
         # Only one process runs on a machine at a time, so the one that wrote this record has ended.
-        return ClaimLease(view.owner.epoch + 1)
+        return ClaimLease(epoch)
     if not view.owner.is_released and view.store_recovery_age < times.outage_grace + view.jitter:
         # No owner could renew while the store was unavailable, so a missing renewal proves nothing yet.
         return DeferClaim("store_regained")
     due = view.jitter if view.owner.is_released else times.expiry + view.jitter
     if now - view.owner_changed_at < due:
         return DeferClaim("owner_renews")
-    return ClaimLease(view.owner.epoch + 1)
+    return ClaimLease(epoch)
+
+
+def next_epoch(newest: OwnerRecord | None) -> int:
+    """Return the epoch that a node claims next.
+
+    Args:
+        newest: newest owner's record that the node has read.
+    """
+    return 1 if newest is None else newest.epoch + 1
+
+
+def newer_owner(before: OwnerRecord | None, record: OwnerRecord) -> OwnerRecord:
+    """Return the record that names the owner after ``record`` has been read.
+
+    Args:
+        before: the record that named the owner until then.
+    """
+    return record
+
+
+def is_overtaken(own: OwnerRecord, newest: OwnerRecord) -> bool:
+    """Return whether another node has claimed the lease since the owner of ``own`` did.
+
+    Args:
+        newest: newest owner's record that the owner has read.
+    """
+    return newest.epoch > own.epoch
+
+
+def is_lease_refused(outcome: AppendOutcome) -> bool:
+    """Return whether the store refused a fenced append in a way that repeating it cannot change."""
+    return not isinstance(outcome, (Appended, NothingDone, OutcomeOpen))
 
 
 def latest_order_at(record: OwnerRecord, node: str, now: float) -> float:
--- a/src/worksramp/edge/shard.py
+++ b/src/worksramp/edge/shard.py
@@ -12,7 +12,8 @@
 
 from worksramp.coordination.elapsed import ElapsedClock, monotonic_s
 from worksramp.coordination.fenced_writer import FencedWriter, OwnershipLostError
-from worksramp.coordination.keyed_replica import Change, KeyedReplica, NotCurrentError
+from worksramp.coordination.keyed_replica import Change, KeyedReplica
+from worksramp.coordination.lease_claim import ClaimLost, HeldLease, LeaseClaim, claim_lease
 from worksramp.coordination.log_lease import (
     OWNER_KEY,
     ClaimLease,
@@ -21,16 +22,12 @@
     OwnerRecord,
     claim_delay_range,
     decide_claim,
+    is_overtaken,
     latest_order_at,
     may_order,
+    newer_owner,
 )
-from worksramp.coordination.shared_log import (
-    Appended,
-    KeyedRecord,
-    OutcomeOpen,
-    Partition,
-    SharedLog,
-)
+from worksramp.coordination.shared_log import Partition, SharedLog
 from worksramp.coordination.value_store import ValueStore
 from worksramp.duties.holder import Duties
 from worksramp.edge.metrics import NodeMetrics
@@ -42,10 +39,9 @@
 from worksramp.routing.worker_port import WorkerPort
 from worksramp.routing.workers import WorkerDirectory
 from worksramp.weights.version_mover import MoverContext, VersionMover
-from worksramp.wire import decode, encode
+from worksramp.wire import decode
 
 CLAIM_TICK_SECONDS = 0.1
-MAX_CLAIM_ATTEMPTS = 4
 CLAIM_BARRIER_SECONDS = 2.0
 RELEASE_SECONDS = 1.5
 FLUSH_SECONDS = 0.7
@@ -224,7 +220,7 @@
         now = anyio.current_time()
         if record.boot != self.context.boot:
             self.former_order_at = latest_order_at(record, self.context.node, now)
-        self.owner_record = record
+        self.owner_record = newer_owner(self.owner_record, record)
         self.owner_changed_at = now
 
     def _lease_view(self) -> LeaseView:
@@ -249,16 +245,17 @@
         record = self._claim_record(epoch, claimed_at)
         owner_silence_s = claimed_at - self.owner_changed_at
         former = self.owner_record.node if self.owner_record else ""
-        is_won = await self._claim(record)
+        claimed = await self._claim(record)
         logger.info(
             "lease_claimed",
             epoch=epoch,
-            is_won=is_won,
+            is_won=isinstance(claimed, HeldLease),
             former=former,
             silence_seconds=round(owner_silence_s, 3),
+            reason=claimed.reason if isinstance(claimed, ClaimLost) else "",
         )
-        if is_won:
-            await self._run_as_owner(record)
+        if isinstance(claimed, HeldLease):
+            await self._run_as_owner(claimed)
 
     def _claim_record(self, epoch: int, now: float) -> OwnerRecord:
         """Return the record of a claim, which passes on what is recorded of the last order."""
@@ -276,38 +273,29 @@
             last_order_age_s=age_s,
         )
 
-    async def _claim(self, record: OwnerRecord) -> bool:
-        """Append the owner's record on the condition that the partition ends where this node's replica does.
+    async def _claim(self, record: OwnerRecord) -> HeldLease | ClaimLost:
+        """Claim the lease on the condition that the partition ends where this node's replica does."""
+        assert self.replica.position is not None
+        claim = LeaseClaim(record, self.replica.position)
+        context = self.context
+        return await claim_lease(context.log, context.partition, claim, self._read_owner, context.clock)
 
-        The append is not fenced, because all claimants of one epoch would use its first sequence number. The
-        store answers a repeated number with its first answer, so each claimant would read that it had won.
+    async def _read_owner(self, end: int | None) -> OwnerRecord | None:
+        """Read the log up to ``end``, None for its present end, and return the newest owner's record.
 
-        Returns:
-            Whether the claim is in the log and this node is the owner.
+        Raises:
+            NotCurrentError: the log could not be read that far in time.
         """
-        assert self.replica.position is not None
-        end = self.replica.position
-        for _ in range(MAX_CLAIM_ATTEMPTS):
-            outcome = await self.context.log.append(
-                self.context.partition, (KeyedRecord(OWNER_KEY, encode(record)),), expected_end=end
-            )
-            if isinstance(outcome, Appended):
-                return True
-            if not isinstance(outcome, OutcomeOpen):
-                break
-        return await self._is_claim_recorded(record)
-
-    async def _is_claim_recorded(self, record: OwnerRecord) -> bool:
-        try:
+        if end is None:
             await self.replica.barrier(CLAIM_BARRIER_SECONDS)
-        except NotCurrentError:
-            return False
-        recorded = self.owner_record
-        return recorded is not None and (recorded.boot, recorded.epoch) == (record.boot, record.epoch)
+        else:
+            await self.replica.wait_position(end)
+        return self.owner_record
 
-    async def _run_as_owner(self, record: OwnerRecord) -> None:
+    async def _run_as_owner(self, held: HeldLease) -> None:
         context = self.context
-        writer = FencedWriter(context.log, context.partition, record, context.times.renewal, context.clock)
+        epoch = held.owner.epoch
+        writer = FencedWriter(context.log, context.partition, held, context.times.renewal, context.clock)
         owner = BatchOwner(
             OwnerContext(
                 self.ledger,
@@ -329,13 +317,9 @@
                 lambda reason: context.metrics.item_moves.labels(reason).inc(),
             )
         )
-        mover = VersionMover(self._mover_context(owner, writer, record.epoch))
+        mover = VersionMover(self._mover_context(owner, writer, epoch))
         try:
             async with anyio.create_task_group() as group:
-                # From the first fenced append on, the store refuses former owners. The replica must hold all
-                # that they wrote before it, because the owner then assigns positions.
-                first_end = await writer.begin()
-                await self.replica.wait_position(first_end)
                 group.start_soon(writer.run)
                 self._writer, self._owner = writer, owner
                 self.replica.gather_seconds = OWNER_GATHER_SECONDS
@@ -345,7 +329,7 @@
                 group.start_soon(self._cancel_when_lease_ends, writer, group.cancel_scope)
                 await owner.run()
         except* OwnershipLostError:
-            logger.warning("lease_lost", epoch=record.epoch)
+            logger.warning("lease_lost", epoch=epoch)
         finally:
             self._owner = None
             self._writer = None
@@ -354,7 +338,7 @@
     async def _cancel_when_lease_ends(self, writer: FencedWriter, scope: anyio.CancelScope) -> None:
         """Cancel the owner's work when the lease is released or another node has claimed it."""
         while not writer.owner.is_released:
-            if self.owner_record is not None and self.owner_record.epoch > writer.owner.epoch:
+            if self.owner_record is not None and is_overtaken(writer.owner, self.owner_record):
                 logger.warning("lease_lost", epoch=writer.owner.epoch, to=self.owner_record.node)
                 break
             await anyio.sleep(CLAIM_TICK_SECONDS)
--- a/src/worksramp_emulator/shared_log.py
+++ b/src/worksramp_emulator/shared_log.py
@@ -11,25 +11,21 @@
 import anyio.abc
 
 from worksramp.coordination.shared_log import (
-    Appended,
     AppendOutcome,
-    ConditionFailed,
     Fence,
-    FencedOff,
     KeyedRecord,
     LogUnavailableError,
     NewestPage,
     NothingDone,
     OutcomeOpen,
-    OutOfSequence,
     Partition,
     RecordsGone,
     RecordsRead,
     SharedLog,
     StoredRecord,
 )
+from worksramp_emulator.log_partition import LogPartition
 
-NUM_KEPT_ANSWERS = 5
 PAGE_SIZE = 50
 CALL_TIMEOUT_SECONDS = 1.0
 
@@ -60,18 +56,7 @@
 
 
 @dataclass(slots=True)
-class _Producer:
-    epoch: int
-    answers: dict[int, Appended] = field(default_factory=dict)
-    last_sequence: int = -1
-
-
-@dataclass(slots=True)
-class _PartitionState:
-    records: list[StoredRecord] = field(default_factory=list)
-    first_kept: int = 0
-    newest: dict[str, StoredRecord] = field(default_factory=dict)
-    producers: dict[str, _Producer] = field(default_factory=dict)
+class _PartitionState(LogPartition):
     changed: anyio.Event = field(default_factory=anyio.Event)
 
 
@@ -119,47 +104,12 @@
     ) -> AppendOutcome:
         """Apply an append at once, without the delay and the faults of a call."""
         state = self.state(partition)
-        if fence is not None:
-            refusal = self._check_fence(state, fence)
-            if refusal is not None:
-                return refusal
-        if expected_end is not None and expected_end != len(state.records):
-            return ConditionFailed(len(state.records))
-        offset = len(state.records)
-        for record in records:
-            stored = StoredRecord(len(state.records), record.key, record.value)
-            state.records.append(stored)
-            if record.value:
-                state.newest[record.key] = stored
-            else:
-                state.newest.pop(record.key, None)
-        answer = Appended(offset, len(state.records))
-        if fence is not None:
-            self._record_answer(state, fence, answer)
-        state.changed.set()
-        state.changed = anyio.Event()
-        return answer
-
-    def _check_fence(self, state: _PartitionState, fence: Fence) -> AppendOutcome | None:
-        producer = state.producers.get(fence.producer)
-        if producer is None or fence.epoch > producer.epoch:
-            return None
-        if fence.epoch < producer.epoch:
-            return FencedOff()
-        if fence.sequence in producer.answers:
-            return producer.answers[fence.sequence]
-        if fence.sequence != producer.last_sequence + 1:
-            return OutOfSequence(producer.last_sequence + 1)
-        return None
-
-    def _record_answer(self, state: _PartitionState, fence: Fence, answer: Appended) -> None:
-        producer = state.producers.get(fence.producer)
-        if producer is None or fence.epoch > producer.epoch:
-            producer = state.producers[fence.producer] = _Producer(fence.epoch)
-        producer.last_sequence = fence.sequence
-        producer.answers[fence.sequence] = answer
-        while len(producer.answers) > NUM_KEPT_ANSWERS:
-            del producer.answers[min(producer.answers)]
+        num_before = len(state.records)
+        outcome = state.append(records, fence, expected_end)
+        if len(state.records) > num_before:
+            state.changed.set()
+            state.changed = anyio.Event()
+        return outcome
 
     async def traverse_link(self, node: str, step: str) -> None:
         """Wait for one direction of a call between a node and the store.
--- a/tests/unit/test_claims.py
+++ b/tests/unit/test_claims.py
@@ -6,6 +6,7 @@
 import anyio
 import pytest
 
+from worksramp.coordination.lease_claim import HeldLease
 from worksramp.coordination.log_lease import OwnerRecord
 from worksramp.logs import configure_logs
 from worksramp_emulator.simulation.batch_world import BatchWorld, BatchWorldSpec
@@ -23,7 +24,7 @@
             winners: list[str] = []
 
             async def claim(shard: Any, name: str) -> None:
-                if await shard._claim(OwnerRecord(name, name, 1)):
+                if isinstance(await shard._claim(OwnerRecord(name, name, 1)), HeldLease):
                     winners.append(name)
 
             for slot in world.slots:
