Lease: a claim is its epoch's first fenced append, and is won when the log says so

Cause: a claim was an unfenced append. Until the new owner's first fenced append was done, the store still took the former owner's; its late renewal replaced the claim in the log, and the next claimant took the same epoch again. The store then gave the one's number 0 the other one's first answer, and each took that answer for a proof of its own write. Neither stopped, since each looked for a higher epoch only.

Ruled out: two claims under one condition (the first moves the end), a stale copy as such.

Mend: the claim carries the fence of its epoch together with the condition, so from it on the store refuses the former owner and no record of a lower epoch can follow; each start of a process has a first number of its own, so a second claimant's number isn't the next one nor a known one; and a claim is won only when the log, read up to the answered position, names this process. An owner also stops at a record of its own epoch by another process, and a record of a lower epoch (written by a node of the former release) names no owner. A claim that the store did after its claimant gave up is replaced at once.

A takeover makes one call instead of two.

The number now follows from the id of the start.

--- a/src/worksramp/coordination/keyed_replica.py
+++ b/src/worksramp/coordination/keyed_replica.py
@@ -139,11 +139,17 @@
         while self.position is None:
             await self._changed.wait()
 
-    async def wait_position(self, end: int) -> None:
-        """Wait until the copy holds all records before offset ``end``."""
-        self._read_requested.set()
-        while self.position is None or self.position < end:
-            await self._changed.wait()
+    async def wait_position(self, end: int, timeout_seconds: float) -> None:
+        """Wait until the copy holds all records before offset ``end``.
+
+        Raises:
+            NotCurrentError: it does not within ``timeout_seconds``.
+        """
+        try:
+            with anyio.fail_after(timeout_seconds):
+                await self._wait_position(end)
+        except TimeoutError as error:
+            raise NotCurrentError(f"offset {end} was not read in {timeout_seconds} s") from error
 
     async def barrier(self, timeout_seconds: float) -> None:
         """Wait until the copy holds everything that the store held at the time of the call.
@@ -154,9 +160,7 @@
         try:
             with anyio.fail_after(timeout_seconds):
                 await self.wait_loaded()
-                end = await self._end()
-                self._read_requested.set()
-                await self.wait_position(end)
+                await self._wait_position(await self._end())
         except (TimeoutError, LogUnavailableError) as error:
             raise NotCurrentError(str(error) or "timed out") from error
 
@@ -177,6 +181,11 @@
         finally:
             self._num_waiters -= 1
 
+    async def _wait_position(self, end: int) -> None:
+        self._read_requested.set()
+        while self.position is None or self.position < end:
+            await self._changed.wait()
+
     async def _end(self) -> int:
         assert self.position is not None
         answer = await self._log.read(self._partition, self.position, BARRIER_WAIT_SECONDS)
--- a/src/worksramp/coordination/lease_claim.py
+++ b/src/worksramp/coordination/lease_claim.py
@@ -4,6 +4,7 @@
 """
 
 import random
+import zlib
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, replace
 
@@ -17,10 +18,8 @@
     Appended,
     AppendOutcome,
     Fence,
-    FencedOff,
     KeyedRecord,
     OutcomeOpen,
-    OutOfSequence,
     Partition,
     SharedLog,
 )
@@ -30,6 +29,9 @@
 #: Timeout of the first try, doubled for each further one.
 FIRST_TRY_S = 0.3
 RETRY_PAUSE_S = 0.05
+#: The first number of a process is below this bound, which leaves room to count on from it. Two processes
+#: with the same number are still told apart by reading the log.
+MAX_FIRST_SEQUENCE = 2**30
 
 logger = structlog.get_logger()
 
@@ -39,12 +41,12 @@
     """Append the owner's record.
 
     Attributes:
-        fence: identity of the append, None for an append that is not fenced.
+        fence: identity of the append.
         expected_end: offset at which the partition must end, None for no condition.
     """
 
     record: OwnerRecord
-    fence: Fence | None
+    fence: Fence
     expected_end: int | None
 
 
@@ -61,13 +63,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ClaimWon:
-    """The claimant holds the lease.
-
-    Attributes:
-        sequence: number of its last append; the next one has the number after it.
-    """
-
-    sequence: int
+    """The claimant holds the lease."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,59 +84,49 @@
 class LeaseClaim:
     """State of one claim.
 
-    The claim is appended on the condition that the partition ends where the claimant's copy does. It is not
-    fenced, because all claimants of one epoch would use its first number. Once it is in the log, the record
-    is appended again under the epoch, so that the store refuses former owners.
+    The claim is the first fenced append of its epoch, on the condition that the partition ends where the
+    claimant's copy does. With it, the store refuses the former owner's appends, so none can hide the claim,
+    and the appends of all who claim the same epoch from another first number.
+
+    The store's answer alone proves nothing, since a repeated number gets the answer of the first append that
+    had it. The claim is won once the log, read up to the claim, names this process as the owner.
 
     Attributes:
         record: the owner's record.
         expected_end: end of the claimant's copy.
-        num_tries: tries of the claim that were made.
-        is_in_log: whether the claim is known to be in the log.
+        first_sequence: number of the claim's append, the same for all claims of one start of a process.
+        num_tries: tries that were made.
     """
 
     record: OwnerRecord
     expected_end: int
+    first_sequence: int
     num_tries: int = 0
-    is_in_log: bool = False
 
     def next_step(self) -> AppendOwner:
         """Return the append to make now."""
-        if self.is_in_log:
-            return AppendOwner(self.record, Fence(OWNER_PRODUCER, self.record.epoch, 0), None)
-        return AppendOwner(self.record, None, self.expected_end)
+        fence = Fence(OWNER_PRODUCER, self.record.epoch, self.first_sequence)
+        return AppendOwner(self.record, fence, self.expected_end)
 
     def after_append(self, outcome: AppendOutcome) -> tuple["LeaseClaim", ClaimStep]:
         """Return the state and the step after an append."""
-        if self.is_in_log:
-            return self, self._after_begin(outcome)
         if isinstance(outcome, Appended):
-            begun = replace(self, is_in_log=True)
-            return begun, begun.next_step()
+            return self, ReadOwner(outcome.end)
         tried = replace(self, num_tries=self.num_tries + 1)
         if isinstance(outcome, OutcomeOpen) and tried.num_tries < MAX_CLAIM_TRIES:
             return tried, tried.next_step()
+        # The claim may be in the log after any refusal, by an earlier try that was not answered.
         return tried, ReadOwner(None)
 
-    def _after_begin(self, outcome: AppendOutcome) -> ClaimStep:
-        if isinstance(outcome, Appended):
-            return ReadOwner(outcome.end)
-        if isinstance(outcome, (FencedOff, OutOfSequence)):
-            return ClaimLost(type(outcome).__name__)
-        return self.next_step()
-
-    def after_read(self, newest: OwnerRecord | None) -> tuple["LeaseClaim", ClaimStep]:
-        """Return the state and the step after the log was read.
+    def after_read(self, newest: OwnerRecord | None) -> ClaimStep:
+        """Return the step after the log was read.
 
         Args:
             newest: newest owner's record of the log as read.
         """
-        if self.is_in_log:
-            return self, ClaimWon(0)
         if newest is None or (newest.boot, newest.epoch) != (self.record.boot, self.record.epoch):
-            return self, ClaimLost("not_in_log")
-        begun = replace(self, is_in_log=True)
-        return begun, begun.next_step()
+            return ClaimLost("another_owner_in_log")
+        return ClaimWon()
 
 
 @dataclass(frozen=True, slots=True)
@@ -158,6 +144,15 @@
     renewed_at_s: float
 
 
+def first_sequence_of(boot: str) -> int:
+    """Return the number of all claims of one start of a process; others are unlikely to have it.
+
+    Args:
+        boot: random text that identifies the start.
+    """
+    return zlib.crc32(boot.encode()) % MAX_FIRST_SEQUENCE
+
+
 ReadNewestOwner = Callable[[int | None], Awaitable[OwnerRecord | None]]
 
 
@@ -183,7 +178,7 @@
                 newest = await read_owner(step.end)
             except NotCurrentError as error:
                 return ClaimLost(f"log_not_read: {error}")
-            claim, step = claim.after_read(newest)
+            step = claim.after_read(newest)
             continue
         started_s = clock()
         outcome = await _append(log, partition, step, try_s)
@@ -200,7 +195,7 @@
         claim, step = claim.after_append(outcome)
     if isinstance(step, ClaimLost):
         return step
-    return HeldLease(claim.record, step.sequence, renewed_at_s)
+    return HeldLease(claim.record, claim.first_sequence, renewed_at_s)
 
 
 async def _append(log: SharedLog, partition: Partition, step: AppendOwner, timeout_s: float) -> AppendOutcome:
--- a/src/worksramp/coordination/log_lease.py
+++ b/src/worksramp/coordination/log_lease.py
@@ -1,9 +1,9 @@
 """Lease on a shard, kept as a record in the shard's own partition.
 
-A claimant appends an owner record with the next epoch, on the condition that the partition still ends where
-the claimant's copy ends, so the store accepts one of several concurrent claims. Once the new owner has
-appended under its epoch, the store refuses the previous owner's appends. Time decides only when a node
-claims, never which node may write.
+A claimant appends an owner record with the next epoch and under that epoch's fence, on the condition that
+the partition still ends where the claimant's copy ends. So the store accepts one of several concurrent
+claims, and refuses the previous owner's appends from the claim on (see `lease_claim`). Time decides only when
+a node claims, never which node may write.
 """
 
 import math
@@ -77,7 +77,8 @@
 
     Attributes:
         owner: the newest owner record, None if there is none.
-        is_own_machine: whether an earlier process on this machine wrote that record.
+        is_own_machine: whether a process on this machine wrote that record: an earlier one, or this one by a
+            claim that it had given up when the store did it.
         owner_changed_at: when this node read that record, on its own clock; if there is none, when it loaded
             its copy.
         replica_age: seconds since the node's copy of the partition was confirmed as current.
@@ -142,7 +143,8 @@
         waited = now - view.owner_changed_at
         return ClaimLease(epoch) if waited >= view.jitter else DeferClaim("jitter")
     if view.is_own_machine:
-        # Only one process runs on a machine at a time, so the one that wrote this record has ended.
+        # Only one process runs on a machine at a time, and this one is not the owner, so nobody acts under
+        # that record's epoch.
         return ClaimLease(epoch)
     if not view.owner.is_released and view.store_recovery_age < times.outage_grace + view.jitter:
         # No owner could renew while the store was unavailable, so a missing renewal proves nothing yet.
@@ -165,19 +167,22 @@
 def newer_owner(before: OwnerRecord | None, record: OwnerRecord) -> OwnerRecord:
     """Return the record that names the owner after ``record`` has been read.
 
+    A node of the release before may append a claim without a fence, and the owner that it replaces may still
+    renew after it. A record of a lower epoch therefore changes nothing.
+
     Args:
         before: the record that named the owner until then.
     """
-    return record
+    return before if before is not None and before.epoch > record.epoch else record
 
 
 def is_overtaken(own: OwnerRecord, newest: OwnerRecord) -> bool:
-    """Return whether another node has claimed the lease since the owner of ``own`` did.
+    """Return whether the log names another owner than ``own`` does, of its epoch or a later one.
 
     Args:
         newest: newest owner's record that the owner has read.
     """
-    return newest.epoch > own.epoch
+    return newest.epoch > own.epoch or (newest.epoch == own.epoch and newest.boot != own.boot)
 
 
 def is_lease_refused(outcome: AppendOutcome) -> bool:
--- a/src/worksramp/edge/shard.py
+++ b/src/worksramp/edge/shard.py
@@ -13,7 +13,13 @@
 from worksramp.coordination.elapsed import ElapsedClock, monotonic_s
 from worksramp.coordination.fenced_writer import FencedWriter, OwnershipLostError
 from worksramp.coordination.keyed_replica import Change, KeyedReplica
-from worksramp.coordination.lease_claim import ClaimLost, HeldLease, LeaseClaim, claim_lease
+from worksramp.coordination.lease_claim import (
+    ClaimLost,
+    HeldLease,
+    LeaseClaim,
+    claim_lease,
+    first_sequence_of,
+)
 from worksramp.coordination.log_lease import (
     OWNER_KEY,
     ClaimLease,
@@ -42,7 +48,7 @@
 from worksramp.wire import decode
 
 CLAIM_TICK_SECONDS = 0.1
-CLAIM_BARRIER_SECONDS = 2.0
+CLAIM_READ_SECONDS = 2.0
 RELEASE_SECONDS = 1.5
 FLUSH_SECONDS = 0.7
 OWNER_GATHER_SECONDS = 0.02
@@ -218,18 +224,22 @@
 
     def _apply_owner_record(self, record: OwnerRecord) -> None:
         now = anyio.current_time()
+        if newer_owner(self.owner_record, record) is not record:
+            # The owner that was replaced may have announced an order until then.
+            order_at = latest_order_at(record, self.context.node, now)
+            self.former_order_at = max(self.former_order_at, order_at)
+            logger.info("owner_record_ignored", epoch=record.epoch, owner=record.node)
+            return
         if record.boot != self.context.boot:
             self.former_order_at = latest_order_at(record, self.context.node, now)
-        self.owner_record = newer_owner(self.owner_record, record)
+        self.owner_record = record
         self.owner_changed_at = now
 
     def _lease_view(self) -> LeaseView:
         owner = self.owner_record
         return LeaseView(
             owner=owner,
-            is_own_machine=owner is not None
-            and owner.node == self.context.node
-            and owner.boot != self.context.boot,
+            is_own_machine=owner is not None and owner.node == self.context.node,
             owner_changed_at=self.owner_changed_at,
             replica_age=self.replica.confirmed_age(),
             may_own=self.context.may_own() and not self._is_stopping,
@@ -276,7 +286,7 @@
     async def _claim(self, record: OwnerRecord) -> HeldLease | ClaimLost:
         """Claim the lease on the condition that the partition ends where this node's replica does."""
         assert self.replica.position is not None
-        claim = LeaseClaim(record, self.replica.position)
+        claim = LeaseClaim(record, self.replica.position, first_sequence_of(record.boot))
         context = self.context
         return await claim_lease(context.log, context.partition, claim, self._read_owner, context.clock)
 
@@ -287,9 +297,9 @@
             NotCurrentError: the log could not be read that far in time.
         """
         if end is None:
-            await self.replica.barrier(CLAIM_BARRIER_SECONDS)
+            await self.replica.barrier(CLAIM_READ_SECONDS)
         else:
-            await self.replica.wait_position(end)
+            await self.replica.wait_position(end, CLAIM_READ_SECONDS)
         return self.owner_record
 
     async def _run_as_owner(self, held: HeldLease) -> None:
