Signals are handled from the process's first lines to its end

What callers saw: requests that a node had passed on to workers lost their connection without an answer when the node's settings changed while it was stopping (LOST, under planned work alone).

Cause: the receiver of signals was left at the first SIGTERM, which restored the default action of each signal it had, and that of SIGHUP ends the process. The class: the default action is in force at some moment of the process's life. There were two more such moments: while libraries are loaded at the start, and after the event loop's end.

Evidence: status -1 and no log line after `stopping`; a real process with a request in flight ends at TERM HUP TERM INT HUP and at HUP INT INT HUP TERM. Ruled out: an error while the settings are read again (no `settings_refused`, no traceback).

Mend: `SignalInbox` installs handlers in the start program's first lines and keeps each kind of signal until the node takes it; the node takes signals all the time, also while it stops; at the end of the process they are ignored, which the interpreter leaves in force. The entry point is light, the process itself moved to worksramp_platform.process. The gateway role had no handler for SIGHUP at all and now logs and ignores it.

Why it works: no moment is left in which a default action can end the process but the interpreter's own start.

--- a/deploy/bundle.py
+++ b/deploy/bundle.py
@@ -25,7 +25,7 @@
 
 #: Length of the head (version of the code and index), written before it.
 HEAD_LENGTH = struct.Struct(">I")
-ENTRY_POINT = "worksramp_platform.__main__"
+ENTRY_POINT = "worksramp_platform.process"
 LIBRARY = Path(os.__file__).parent
 #: Modules that are imported only while a node runs.
 IMPORTED_LATER = ("anyio._backends._asyncio", "encodings.idna")
--- a/deploy/start.py
+++ b/deploy/start.py
@@ -101,7 +101,11 @@
 
 
 def main() -> None:
-    """Import the product and run a node."""
+    """Import the product and run a node. Signals are kept for it from here on."""
+    from worksramp.signals import SignalInbox
+
+    signals = SignalInbox()
+    signals.install()
     # Nothing that imports create becomes garbage.
     gc.disable()
     importer: BundleImporter | None = None
@@ -113,12 +117,12 @@
         vars(dataclasses)["exec"] = importer.exec_method
     except (OSError, ValueError) as error:
         print(f"{BUNDLE}: {error}; modules are imported from their folders", file=sys.stderr)
-    from worksramp_platform.__main__ import main as run_node
+    from worksramp_platform.process import main as run_node
 
     if importer is not None:
         importer.release()
     gc.enable()
-    run_node()
+    run_node(signals)
 
 
 if __name__ == "__main__":
--- a/src/worksramp/edge/serve.py
+++ b/src/worksramp/edge/serve.py
@@ -1,7 +1,9 @@
 """Run the HTTP server of an edge node, and handle the signals to stop it and to reload its settings."""
 
+import asyncio
 import signal
 from collections.abc import Awaitable, Callable
+from functools import partial
 
 import anyio
 import msgspec
@@ -14,6 +16,7 @@
 from worksramp.edge.settings import EdgeSettings
 from worksramp.mechanisms import MECHANISMS, UnknownMechanismError
 from worksramp.settings_error import SettingsError
+from worksramp.signals import SignalInbox
 
 Application = Callable[[Scope, Receive, Send], Awaitable[None]]
 
@@ -40,17 +43,24 @@
 
 
 async def serve_node(
-    node: EdgeNode, application: Application, read_settings: Callable[[], EdgeSettings]
+    node: EdgeNode,
+    application: Application,
+    read_settings: Callable[[], EdgeSettings],
+    signals: SignalInbox,
 ) -> None:
     """Serve until a signal to stop arrives, then stop the node and the HTTP server, in this order.
 
+    Signals that arrive meanwhile are handled too: they may reload the settings, and never cut the stop short.
+
     Args:
         node: node to run.
         application: ASGI application that serves the node's callers.
         read_settings: reads the settings file again, and raises SettingsError if it cannot be used.
+        signals: signals of the process.
     """
     config = _hypercorn_config(node)
     http_stop, http_stopped = anyio.Event(), anyio.Event()
+    stop_requested = anyio.Event()
     async with anyio.create_task_group() as group:
 
         async def serve_http() -> None:
@@ -63,7 +73,8 @@
         logger.info(
             "started", node=node.settings.node_id, zone=node.settings.zone, listen=node.settings.listen
         )
-        await _wait_for_stop_signal(node, read_settings)
+        group.start_soon(_handle_signals, node, signals, read_settings, stop_requested)
+        await stop_requested.wait()
         await node.stop()
         http_stop.set()
         with anyio.move_on_after(2 * GRACEFUL_TIMEOUT_SECONDS):
@@ -98,13 +109,34 @@
         await anyio.sleep(IDLE_TIMEOUT_PERIOD_SECONDS)
 
 
-async def _wait_for_stop_signal(node: EdgeNode, read_settings: Callable[[], EdgeSettings]) -> None:
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
-        async for number in signals:
-            logger.info("signal", name=number.name)
-            if number is not signal.SIGHUP:
-                return
-            reload_settings(node, read_settings)
+async def _handle_signals(
+    node: EdgeNode,
+    signals: SignalInbox,
+    read_settings: Callable[[], EdgeSettings],
+    stop_requested: anyio.Event,
+) -> None:
+    """Handle each signal until cancelled, also while the node stops."""
+    try:
+        while True:
+            number = await _next_signal(signals)
+            logger.info("signal", name=number.name, is_stopping=stop_requested.is_set())
+            if number is signal.SIGHUP:
+                reload_settings(node, read_settings)
+            else:
+                stop_requested.set()
+    finally:
+        signals.notify(None)
+
+
+async def _next_signal(signals: SignalInbox) -> signal.Signals:
+    loop = asyncio.get_running_loop()
+    while True:
+        arrived = anyio.Event()
+        signals.notify(partial(loop.call_soon_threadsafe, arrived.set))
+        number = signals.take()
+        if number is not None:
+            return number
+        await arrived.wait()
 
 
 def reload_settings(node: EdgeNode, read_settings: Callable[[], EdgeSettings]) -> None:
--- a/src/worksramp/node/main.py
+++ b/src/worksramp/node/main.py
@@ -74,14 +74,18 @@
 
 
 async def _stop_on_signal(node: Node, scope: anyio.CancelScope) -> None:
-    """Drain the node at the first signal.
+    """Drain the node at the first SIGTERM or SIGINT.
 
-    At the second signal, stop at once and log the number of aborted requests.
+    At the second one, stop at once and log the number of aborted requests. SIGHUP changes nothing, since this
+    role reads its settings at its start alone.
     """
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
         is_draining = False
         async with anyio.create_task_group() as group:
             async for number in signals:
+                if number is signal.SIGHUP:
+                    logger.info("signal_ignored", signal=number.name)
+                    continue
                 if is_draining:
                     logger.warning("node_stopped_at_once", signal=number.name, num_cut=node.num_in_flight)
                     scope.cancel()
--- a/tests/platform/test_imports.py
+++ b/tests/platform/test_imports.py
@@ -18,7 +18,7 @@
     "worksramp.transport",
     "worksramp_emulator",
 )
-LIST_MODULES = "import sys, worksramp_platform.__main__; print(*sys.modules)"
+LIST_MODULES = "import sys, worksramp_platform.process; print(*sys.modules)"
 
 
 def test_the_edge_role_imports_no_unwanted_module() -> None:
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -36,8 +36,9 @@
 [store]
 address = "{store}"
 [bounds]
-grace = 2.0
+grace = {grace_s}
 """
+GRACE_S = 2.0
 
 
 def free_address() -> str:
@@ -79,7 +80,7 @@
 
 
 @asynccontextmanager
-async def running(tmp_path: Path) -> AsyncIterator[Running]:
+async def running(tmp_path: Path, grace_s: float = GRACE_S) -> AsyncIterator[Running]:
     addresses = {name: free_address() for name in ("front", "ready", "metrics", "store", "worker")}
     async with anyio.create_task_group() as group:
         source = random.Random(1)
@@ -97,7 +98,7 @@
         group.start_soon(_serve, StoreApp(store), addresses["store"], stop)
         group.start_soon(_serve, worker, addresses["worker"], stop)
         file = tmp_path / "node.toml"
-        file.write_text(SETTINGS.format(**addresses))
+        file.write_text(SETTINGS.format(**addresses, grace_s=grace_s))
         environment = {**os.environ, "PYTHONPATH": str(PLATFORM), "WORKSRAMP_CONFIG": str(file)}
         process = subprocess.Popen([sys.executable, "-m", "worksramp_platform"], env=environment)
         try:
@@ -110,9 +111,11 @@
             stop.set()
 
 
-def run_scenario(tmp_path: Path, scenario: Callable[[Running], Awaitable[None]]) -> None:
+def run_scenario(
+    tmp_path: Path, scenario: Callable[[Running], Awaitable[None]], grace_s: float = GRACE_S
+) -> None:
     async def main() -> None:
-        async with running(tmp_path) as node:
+        async with running(tmp_path, grace_s) as node:
             await node.wait_ready()
             await scenario(node)
 
