An attempt may have run until something proves that it has not

What callers saw: a stream that must not be repeated ran again at a second worker (TWICE), or got 503, "has not run", although it had (REFUSED).

Cause: "may have run" was a flag that each path set by hand, at five places. LiveStream._read_failure, which reads the body of a worker's own 500 or 504, was the one that forgot it. Beside it, when the time ran out in that reading, the answer was passed on as whole with an empty body.

Ruled out: the adapter's "not run" (the log says `broken`), a repetition by the HTTP client (two attempts in the log, the second chosen by us).

Mend: an Attempt begins as "may have run"; only a connection that was never made, or the worker's own statement, changes that (record_unreachable, record_answer_head). AttemptHistory.may_have_run follows from the attempts and can't be set. An interrupted attempt, which the avoidance of suspects goes by, is told apart from an answered one.

Why it works: no path has anything left to forget; a new path that says nothing errs on the safe side.

Left as it is: the gateway role, where an error's type says it.

--- a/src/worksramp/routing/attempts.py
+++ b/src/worksramp/routing/attempts.py
@@ -11,7 +11,7 @@
 from worksramp.routing.fingerprint import HOST_HEADER, fingerprint_of
 from worksramp.routing.table import Route
 from worksramp.routing.worker_load import ReportedLoad, WorkerLoad, usual_latency_s
-from worksramp.routing.worker_port import HeaderList, WorkerAnswer, WorkerRequest
+from worksramp.routing.worker_port import HeaderList, WorkerAnswer, WorkerRequest, WorkerUnreachableError
 from worksramp.routing.workers import WorkerDirectory, WorkerState
 
 AVOID_AFTER_FAILURE_SECONDS = 0.5
@@ -75,26 +75,66 @@
     body: bytes
 
 
+@dataclass(slots=True)
+class Attempt:
+    """One attempt at one worker. It may have run the request unless something proves that it has not.
+
+    Attributes:
+        has_not_run: whether nothing was sent, or the worker states that it has not run the request.
+        is_answered: whether the complete answer has arrived.
+        is_ended: whether the attempt is over.
+    """
+
+    worker_id: str
+    has_not_run: bool = False
+    is_answered: bool = False
+    is_ended: bool = False
+
+    @property
+    def was_interrupted(self) -> bool:
+        """Whether the attempt ended without an answer and without proof that the request has not run."""
+        return self.is_ended and not self.has_not_run and not self.is_answered
+
+
 @dataclass(slots=True)
 class AttemptHistory:
     """Attempts made so far for one request.
 
     Attributes:
-        tried: ids of the workers that were chosen, in order.
-        num_refused_connections: how many of them refused the connection at once, so that nothing was sent.
-        may_have_run: whether a worker may have run the request.
+        attempts: all attempts, in order.
+        num_refused_connections: how many of them met a refused connection, so that nothing was sent.
         began_at: when the first attempt was sent that a worker has run or may have run, None before.
         last_reason: why the latest attempt failed.
         failure: error answer of a worker, returned to the caller if no attempt succeeds.
     """
 
-    tried: list[str] = field(default_factory=list)
+    attempts: list[Attempt] = field(default_factory=list)
     num_refused_connections: int = 0
-    may_have_run: bool = False
     began_at: float | None = None
     last_reason: str = "no_worker"
     failure: WholeAnswer | None = None
 
+    @property
+    def tried(self) -> list[str]:
+        """Ids of the workers that were chosen, in order."""
+        return [attempt.worker_id for attempt in self.attempts]
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether a worker may have run the request."""
+        return any(not attempt.has_not_run for attempt in self.attempts)
+
+    @property
+    def was_interrupted(self) -> bool:
+        """Whether an attempt that may have run ended without its answer."""
+        return any(attempt.was_interrupted for attempt in self.attempts)
+
+    def begin_attempt(self, worker: WorkerState) -> Attempt:
+        """Add an attempt at a worker."""
+        attempt = Attempt(worker.entry.worker_id)
+        self.attempts.append(attempt)
+        return attempt
+
     def record_begun(self, sent_at: float) -> None:
         """Record that an attempt sent at this time has run or may have run."""
         self.began_at = sent_at if self.began_at is None else min(self.began_at, sent_at)
@@ -108,7 +148,7 @@
         second, 8 seeds).
         """
         num_uncounted = min(self.num_refused_connections, MAX_UNCOUNTED_REFUSALS)
-        return len(self.tried) - num_uncounted < route.max_attempts
+        return len(self.attempts) - num_uncounted < route.max_attempts
 
 
 class WorkerChoice:
@@ -138,7 +178,7 @@
             if worker.entry.worker_id not in history.tried
         ]
         healthy = [worker for worker in untried if worker.avoid_until <= now] or untried
-        if history.may_have_run:
+        if history.was_interrupted:
             # Any of the requests that a crash interrupted may have caused it. If they were retried at the
             # same worker, the others would be lost again, and the cause could not be told apart from them.
             healthy = [worker for worker in healthy if not worker.has_suspect] or healthy
@@ -184,9 +224,12 @@
         """Return a service of the route's split, chosen at random by weight."""
         return route.choose_service(self._rng)
 
-    def record_answer_head(self, answer: WorkerAnswer, worker: WorkerState, history: AttemptHistory) -> bool:
+    def record_answer_head(
+        self, answer: WorkerAnswer, worker: WorkerState, history: AttemptHistory, attempt: Attempt
+    ) -> bool:
         """Record the head of an answer and return whether it states that the request has not run."""
         now = anyio.current_time()
+        attempt.has_not_run = answer.is_other_worker or answer.is_not_run
         if answer.load is not None:
             worker.record_report(answer.load, now)
         if answer.is_other_worker:
@@ -219,6 +262,19 @@
         if worker.latency_seconds is None or worker.latency_seconds < seconds:
             self.record_latency(worker, seconds)
 
+    def record_unreachable(
+        self,
+        request: LiveRequest,
+        worker: WorkerState,
+        history: AttemptHistory,
+        attempt: Attempt,
+        error: WorkerUnreachableError,
+    ) -> None:
+        """Record and log an attempt that sent nothing."""
+        attempt.has_not_run = True
+        history.num_refused_connections += int(error.is_refusal)
+        self.record_failure(request, worker, history, f"unreachable: {error}")
+
     def record_failure(
         self, request: LiveRequest, worker: WorkerState, history: AttemptHistory, reason: str
     ) -> None:
--- a/src/worksramp/routing/forward.py
+++ b/src/worksramp/routing/forward.py
@@ -15,6 +15,7 @@
 from worksramp.mechanisms import mechanism
 from worksramp.routing.admission import Admitted, decide_admission, is_over_share
 from worksramp.routing.attempts import (
+    Attempt,
     AttemptHistory,
     LiveRequest,
     WholeAnswer,
@@ -159,7 +160,6 @@
             worker = self._choice.choose(service, history)
             if worker is None:
                 break
-            history.tried.append(worker.entry.worker_id)
             outcome: ForwardOutcome | None
             if route.kind is RouteKind.STREAMING:
                 stream = LiveStream(self._port, self._choice, self._quarantine, request, route, history)
@@ -210,19 +210,20 @@
         ends_at = request.ends_at(route)
         # A backup attempt of a suspect might crash a second worker before the crash of the first is known.
         is_suspect = self._quarantine.is_suspect(request.fingerprint)
+        first = history.begin_attempt(worker)
         if is_suspect or not _may_back_up(route) or not history.has_attempt_left(route):
-            return await self._attempt(request, worker, ends_at, history)
+            return await self._attempt(request, worker, ends_at, history, first)
 
         async def attempt() -> WholeAnswer | None:
-            answer = await self._attempt(request, worker, ends_at, history)
+            answer = await self._attempt(request, worker, ends_at, history, first)
             return self._unless_failed(answer, history)
 
         async def backup() -> WholeAnswer | None:
             other = self._choice.choose_healthy(service, history)
             if other is None:
                 return None
-            history.tried.append(other.entry.worker_id)
-            answer = await self._attempt(request, other, ends_at, history)
+            second = history.begin_attempt(other)
+            answer = await self._attempt(request, other, ends_at, history, second)
             return self._unless_failed(answer, history)
 
         return await first_result(attempt, backup, BACKUP_SHARE_OF_OBJECTIVE * route.objective_seconds)
@@ -236,7 +237,12 @@
         return None
 
     async def _attempt(
-        self, request: LiveRequest, worker: WorkerState, ends_at: float, history: AttemptHistory
+        self,
+        request: LiveRequest,
+        worker: WorkerState,
+        ends_at: float,
+        history: AttemptHistory,
+        attempt: Attempt,
     ) -> WholeAnswer | None:
         """Send to one worker and return its complete answer, or None if another attempt is needed."""
         started = anyio.current_time()
@@ -246,28 +252,27 @@
         try:
             with anyio.move_on_after(max(0.0, ends_at - started)):
                 async with self._port.send(worker.entry, to_worker_request(request, ends_at)) as answer:
-                    if self._choice.record_answer_head(answer, worker, history):
+                    if self._choice.record_answer_head(answer, worker, history, attempt):
                         is_unfinished = False
                         return None
                     history.record_begun(started)
                     body = b"".join([chunk async for chunk in answer.body])
+                    attempt.is_answered = True
                     self._choice.record_success(worker, anyio.current_time() - started, answer.load)
                     self._quarantine.record_complete_answer(request.fingerprint)
                     is_unfinished = False
                     return WholeAnswer(answer.status, answer.headers, body)
-            history.may_have_run = True
             history.last_reason = "deadline"
         except WorkerUnreachableError as error:
             is_unfinished = False
-            history.num_refused_connections += int(error.is_refusal)
-            self._choice.record_failure(request, worker, history, f"unreachable: {error}")
+            self._choice.record_unreachable(request, worker, history, attempt, error)
         except WorkerAnswerBrokenError as error:
             is_unfinished = False
-            history.may_have_run = True
             history.record_begun(started)
             self._choice.record_failure(request, worker, history, f"broken: {error}")
             await self._quarantine.handle_broken_connection(worker)
         finally:
+            attempt.is_ended = True
             if is_unfinished:
                 history.record_begun(started)
                 # The attempt was cancelled or ran out of time. Without this, a worker that hangs would keep
--- a/src/worksramp/routing/live_stream.py
+++ b/src/worksramp/routing/live_stream.py
@@ -8,6 +8,7 @@
 import structlog
 
 from worksramp.routing.attempts import (
+    Attempt,
     AttemptHistory,
     LiveRequest,
     WholeAnswer,
@@ -61,6 +62,7 @@
         self._ends_at = request.ends_at(route)
         self._attempt_stack = AsyncExitStack()
         self._worker: WorkerState | None = None
+        self._attempt: Attempt | None = None
 
     async def open(self, worker: WorkerState, stack: AsyncExitStack) -> StreamAnswer | WholeAnswer | None:
         """Open the stream at a worker; return None if another attempt is needed.
@@ -69,19 +71,21 @@
             stack: keeps the connection open until the caller has passed on the stream.
         """
         stack.push_async_callback(self._attempt_stack.aclose)
-        answer: WorkerAnswer | None = None
         with anyio.move_on_after(max(0.0, self._ends_at - anyio.current_time())):
             answer = await self._send(worker, self._request)
-            if answer is not None and answer.status >= FIRST_FAILURE_STATUS:
+            if answer is None:
+                return None
+            if answer.status >= FIRST_FAILURE_STATUS:
                 return await self._read_failure(answer, worker)
-        if answer is None:
-            return None
-        return StreamAnswer(answer.status, answer.headers, self._events(answer))
+            return StreamAnswer(answer.status, answer.headers, self._events(answer))
+        self._history.last_reason = "deadline"
+        return None
 
     async def _read_failure(self, answer: WorkerAnswer, worker: WorkerState) -> WholeAnswer | None:
         """Return an error answer with its complete body, or None if the body could not be read."""
         try:
             body = b"".join([chunk async for chunk in answer.body])
+            self._record_answered()
         except WorkerAnswerBrokenError as error:
             self._choice.record_failure(self._request, worker, self._history, f"broken: {error}")
             await self._quarantine.handle_broken_connection(worker)
@@ -93,29 +97,25 @@
     async def _send(self, worker: WorkerState, request: LiveRequest) -> WorkerAnswer | None:
         """Send to one worker; return None if the request has not run there or the answer was lost."""
         running = self._quarantine.running(request.fingerprint)
-        self._worker = worker
+        attempt = self._history.begin_attempt(worker)
+        self._worker, self._attempt = worker, attempt
         worker.begin(running)
         self._attempt_stack.callback(worker.end, running)
+        self._attempt_stack.callback(setattr, attempt, "is_ended", True)
         is_open = False
         try:
             sending = self._port.send(worker.entry, to_worker_request(request, self._ends_at))
             answer = await self._attempt_stack.enter_async_context(sending)
-            is_open = not self._choice.record_answer_head(answer, worker, self._history)
+            is_open = not self._choice.record_answer_head(answer, worker, self._history, attempt)
             if is_open:
                 # A stream begins to run with its first event, which the head of its answer precedes.
                 self._history.record_begun(anyio.current_time())
             return answer if is_open else None
         except WorkerUnreachableError as error:
-            self._history.num_refused_connections += int(error.is_refusal)
-            self._choice.record_failure(request, worker, self._history, f"unreachable: {error}")
+            self._choice.record_unreachable(request, worker, self._history, attempt, error)
         except WorkerAnswerBrokenError as error:
-            self._history.may_have_run = True
             self._choice.record_failure(request, worker, self._history, f"broken: {error}")
             await self._quarantine.handle_broken_connection(worker)
-        except anyio.get_cancelled_exc_class():
-            self._history.may_have_run = True
-            self._history.last_reason = "deadline"
-            raise
         finally:
             if not is_open:
                 await self._attempt_stack.aclose()
@@ -133,6 +133,7 @@
                         last_id = event.event_id or last_id
                         yield event.block
                 if not splitter.has_partial_event:
+                    self._record_answered()
                     self._quarantine.record_complete_answer(self._request.fingerprint)
                     return
             except WorkerAnswerBrokenError as error:
@@ -156,13 +157,16 @@
             worker = self._choice.choose(self._choice.choose_service(self._route), self._history)
             if worker is None:
                 break
-            self._history.tried.append(worker.entry.worker_id)
             answer = await self._send(worker, request)
             if answer is not None and answer.status < FIRST_FAILURE_STATUS:
                 return answer
             await self._attempt_stack.aclose()
         raise WorkerAnswerBrokenError(f"not resumed: {reason}")
 
+    def _record_answered(self) -> None:
+        if self._attempt is not None:
+            self._attempt.is_answered = True
+
     def _may_resume(self) -> bool:
         return (
             self._route.is_resumable
--- a/tests/unit/test_forward.py
+++ b/tests/unit/test_forward.py
@@ -1,12 +1,15 @@
 """Attempts of live requests: which may be repeated, when a request is not run, and whose answer is used."""
 
+import math
 import random
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack, asynccontextmanager
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import anyio
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from worksramp.logs import configure_logs
 from worksramp.routing.attempts import LiveRequest, WholeAnswer
@@ -78,6 +81,8 @@
             yield event.encode()
         if script.kind == "cut":
             raise WorkerAnswerBrokenError("cut")
+        if script.kind == "silent":
+            await anyio.sleep_forever()
 
     async def listener_state(self, worker: WorkerEntry) -> ListenerState:
         return self.listener
@@ -100,7 +105,7 @@
     port: ScriptedPort,
     on: Route,
     num_workers: int = 3,
-    take: Callable[[ForwardOutcome], object] | None = None,
+    take_s: float = math.inf,
 ) -> tuple[ForwardOutcome, float, bytes]:
     """Forward one request; return the outcome, the seconds it took, and the bytes of a stream."""
     configure_logs("error")
@@ -117,8 +122,9 @@
             outcome = await forwarder.forward(request, on, stack)
             if isinstance(outcome, StreamAnswer):
                 try:
-                    async for block in outcome.events:
-                        streamed += block
+                    with anyio.move_on_after(take_s):
+                        async for block in outcome.events:
+                            streamed += block
                 except WorkerAnswerBrokenError:
                     streamed += b"(cut)"
         return outcome, anyio.current_time() - now, streamed
@@ -237,3 +243,57 @@
     port = ScriptedPort([Script("full"), Script("answer", events=(event(1),))])
     outcome, _, streamed = forward_one(port, route(RouteKind.STREAMING))
     assert isinstance(outcome, StreamAnswer) and streamed.decode() == event(1)
+
+
+ONCE_ONLY = [route(RouteKind.NON_IDEMPOTENT, 3), route(RouteKind.STREAMING, 3), route(RouteKind.STREAMING, 1)]
+#: Behaviours that prove that the worker has not run the request.
+NOT_RUN_KINDS = ("unreachable", "refusing", "full", "other")
+
+
+@pytest.mark.parametrize("on", ONCE_ONLY, ids=["non_idempotent", "stream", "stream-one-attempt"])
+@pytest.mark.parametrize("status", [500, 504])
+@pytest.mark.parametrize(
+    "broken",
+    [Script("broken"), Script("cut"), Script("cut", events=("part of the bo",))],
+    ids=["no-head", "head-alone", "inside-the-body"],
+)
+def test_a_failure_that_breaks_off_has_run(broken: Script, status: int, on: Route) -> None:
+    # A stream that must not be repeated ran again, or got "has not run", when a worker's 500 broke off.
+    port = ScriptedPort([replace(broken, status=status), Script("answer"), Script("answer")])
+    outcome, _, _ = forward_one(port, on)
+    assert isinstance(outcome, MayHaveRun) and not outcome.is_late
+    assert len(port.sent) == 1
+
+
+@pytest.mark.parametrize("on", ONCE_ONLY, ids=["non_idempotent", "stream", "stream-one-attempt"])
+def test_a_failure_whose_body_never_ends_is_no_answer(on: Route) -> None:
+    # At the deadline, a stream's failure was passed on as a whole answer with an empty body.
+    port = ScriptedPort([Script("silent", events=("part",), status=500), Script("answer")])
+    outcome, seconds, _ = forward_one(port, on)
+    assert isinstance(outcome, MayHaveRun) and outcome.is_late
+    assert seconds == pytest.approx(0.8)
+    assert len(port.sent) == 1
+
+
+@settings(max_examples=300, deadline=None)
+@given(
+    scripts=st.lists(
+        st.builds(
+            Script,
+            kind=st.sampled_from([*NOT_RUN_KINDS, "broken", "cut", "silent", "answer"]),
+            seconds=st.sampled_from([0.01, 0.3, 5.0]),
+            events=st.sampled_from([(), (event(1),), (event(1), "id: 2\nda")]),
+            status=st.sampled_from([200, 500, 504]),
+        ),
+        min_size=3,
+        max_size=3,
+    ),
+    on=st.sampled_from(ONCE_ONLY),
+)
+def test_whatever_workers_do_a_request_that_may_run_once_runs_once(scripts: list[Script], on: Route) -> None:
+    # Each way in which an attempt can end decides whether another may follow, and what the caller is told.
+    port = ScriptedPort(scripts)
+    outcome, _, _ = forward_one(port, on, take_s=2.0)
+    ran = [script for script in scripts[: len(port.sent)] if script.kind not in NOT_RUN_KINDS]
+    assert len(ran) <= 1
+    assert not (ran and isinstance(outcome, NotRun))
--- a/tests/unit/test_worker_choice.py
+++ b/tests/unit/test_worker_choice.py
@@ -6,7 +6,7 @@
 
 import anyio
 
-from worksramp.routing.attempts import AttemptHistory, WorkerChoice
+from worksramp.routing.attempts import Attempt, AttemptHistory, WorkerChoice
 from worksramp.routing.workers import WorkerDirectory, WorkerEntry
 from worksramp_emulator.simulation.clock import run_simulated
 
@@ -66,7 +66,7 @@
         preferred = workers.get(chosen(choice))
         assert preferred is not None
         choice.record_success(preferred, 0.04)
-        other = choice.choose("app", AttemptHistory(tried=[preferred.entry.worker_id]))
+        other = choice.choose("app", AttemptHistory([Attempt(preferred.entry.worker_id)]))
         assert other is not None
         choice.record_success(other, 0.04)
         for _ in range(4):
