A character that cannot be encoded does not end the logs

What operators saw: no further log line of a process after one that quoted a caller's id with a byte that is not UTF-8. Cause: the writer's thread takes a ValueError of the output for a closed output and ends; UnicodeEncodeError is one. Mend: lines are escaped before they are written.

--- a/src/worksramp/log_writer.py
+++ b/src/worksramp/log_writer.py
@@ -79,8 +79,10 @@
 
     def _run(self) -> None:
         while text := self._next_lines():
+            # Lines may quote bytes of other programs; what cannot be encoded must not end the logs.
+            writable = text.encode(errors="backslashreplace").decode()
             try:
-                self._target.write(text)
+                self._target.write(writable)
                 self._target.flush()
             except (OSError, ValueError):
                 # The output cannot be written any more. The process continues without logs.
