Bytes of workers are data: no event ends the owner, none is changed

Cause: events were decoded leniently (surrogateescape) and encoded strictly when a text was kept or listed; the error ended the process, and the next owner met the same event. Looked for with arbitrary bytes at the port, the class holds more: a weight version of 5,000 digits raised in runs, calls and live requests; an event without a usable id made an item's text begin again; empty lines of a live stream were dropped; ids with bytes over 0x7f were changed.

Mend: an event that is not UTF-8 is its block alone. Blocks and rest are the stream's bytes. Counts are read by parse_count; ids keep their bytes. An error over one item ends that run or call (RunError, ScoringError; counted and logged with its traceback) instead of the process.

Why it works: nothing that is not UTF-8 gets past the splitter as text, and what is unforeseen stays within its item's task.

--- a/src/worksramp/rollout/batch_run.py
+++ b/src/worksramp/rollout/batch_run.py
@@ -112,6 +112,13 @@
     is_connection_lost: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class RunError:
+    """An error of this process ended the run; its complete events were kept."""
+
+    reason: str
+
+
 @dataclass(frozen=True, slots=True)
 class RunFailed:
     """The worker ended the run with an error of its own."""
@@ -131,7 +138,7 @@
     version: int
 
 
-RunOutcome = RunFinished | RunNotBegun | RunBroken | RunFailed | RunNeverPossible | RunWrongVersion
+RunOutcome = RunFinished | RunNotBegun | RunBroken | RunError | RunFailed | RunNeverPossible | RunWrongVersion
 
 
 @dataclass(frozen=True, slots=True)
@@ -231,6 +238,11 @@
     splitter = EventSplitter()
     async for chunk in answer.body:
         for event in splitter.feed(chunk):
+            if event.is_empty:
+                continue
+            if event.event_id is None:
+                # A text is UTF-8, and goes on from the id of its last event.
+                return RunBroken("event without a usable id" if event.is_text else "event is not UTF-8")
             reported = parse_count(event.fields.get(port.version_field, ""))
             version = version if reported is None else reported
             if not may_add(text, version, spec):
--- a/src/worksramp/rollout/item_runner.py
+++ b/src/worksramp/rollout/item_runner.py
@@ -9,6 +9,7 @@
 from worksramp.outcome_handlers import OutcomeHandlers
 from worksramp.rollout.batch_run import (
     RunBroken,
+    RunError,
     RunFailed,
     RunFinished,
     RunNeverPossible,
@@ -154,13 +155,17 @@
                 work.wait_until = anyio.current_time() + quarantine.pause_s(running.fingerprint)
             elif isinstance(outcome, RunFinished | RunFailed):
                 quarantine.record_complete_answer(running.fingerprint)
+        except Exception as error:
+            # An error over one item must not end the other runs, nor the process.
+            logger.exception("item_run_error", item_id=spec.item.item_id, worker=state.entry.worker_id)
+            outcome = RunError(repr(error))
         finally:
             state.end_item(running)
         return outcome
 
     def _handle_outcome(self, work: ItemWork, run: Run, outcome: RunOutcome, num_new: int) -> None:
         now = anyio.current_time()
-        if isinstance(outcome, RunFinished | RunFailed | RunBroken) and not run.is_moving:
+        if isinstance(outcome, RunFinished | RunFailed | RunBroken | RunError) and not run.is_moving:
             self._failures.observe(run.worker_id, not isinstance(outcome, RunFinished), now)
         if not isinstance(outcome, RunFinished):
             self._log_ended(work, run, outcome, num_new)
@@ -213,8 +218,9 @@
         work.avoid(run.worker_id, now + AVOID_AFTER_REFUSAL_SECONDS)
         self._discard_stale_text(work)
 
+    @_outcome_handlers.handler(RunError)
     @_outcome_handlers.handler(RunBroken)
-    def _handle_broken(self, outcome: RunBroken, work: ItemWork, run: Run, now: float) -> None:
+    def _handle_broken(self, outcome: RunBroken | RunError, work: ItemWork, run: Run, now: float) -> None:
         if not run.is_moving:
             work.avoid(run.worker_id, now + AVOID_AFTER_BREAK_SECONDS)
 
--- a/src/worksramp/rollout/item_scorer.py
+++ b/src/worksramp/rollout/item_scorer.py
@@ -19,6 +19,7 @@
 from worksramp.rollout.owner_context import OwnerContext
 from worksramp.rollout.scoring_call import (
     Scored,
+    ScoringError,
     ScoringFailed,
     ScoringImpossible,
     ScoringLost,
@@ -201,6 +202,10 @@
                 await quarantine.handle_broken_connection(state)
             elif isinstance(outcome, Scored | ScoringFailed | ScoringImpossible):
                 quarantine.record_complete_answer(running.fingerprint)
+        except Exception as error:
+            # An error over one item must not end the calls of the others, nor the process.
+            logger.exception("scoring_call_error", item_id=work.item.item_id, worker=call.worker_id)
+            outcome = ScoringError(repr(error))
         finally:
             state.end(running)
             work.scoring.calls.remove(call)
@@ -257,8 +262,11 @@
         else:
             state.avoid_until = now + AVOID_AFTER_REFUSAL_S
 
+    @_handlers.handler(ScoringError)
     @_handlers.handler(ScoringLost)
-    def _handle_lost(self, outcome: ScoringLost, work: ItemWork, call: ScorerCall, now: float) -> None:
+    def _handle_lost(
+        self, outcome: ScoringLost | ScoringError, work: ItemWork, call: ScorerCall, now: float
+    ) -> None:
         self._failures.observe(call.worker_id, is_failure=True, now=now)
         work.scoring.last_resorts[call.worker_id] = now + AVOID_AFTER_BREAK_S
         work.scoring.wait_until = now + FAILURE_PAUSE_S
--- a/src/worksramp/rollout/scoring_call.py
+++ b/src/worksramp/rollout/scoring_call.py
@@ -52,6 +52,13 @@
     is_connection_lost: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class ScoringError:
+    """An error of this process ended the call, which may have run."""
+
+    reason: str
+
+
 @dataclass(frozen=True, slots=True)
 class ScoringFailed:
     """The worker ran the call and returned its own error; after several such errors the item is given up."""
@@ -64,7 +71,7 @@
     status: int
 
 
-ScoringOutcome = Scored | ScoringNotRun | ScoringLost | ScoringFailed | ScoringImpossible
+ScoringOutcome = Scored | ScoringNotRun | ScoringLost | ScoringError | ScoringFailed | ScoringImpossible
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/worksramp/routing/events.py
+++ b/src/worksramp/routing/events.py
@@ -9,28 +9,40 @@
 
     Attributes:
         block: bytes of the event including the empty line that ends it, for forwarding.
-        event_id: value of the ``id`` field, None if there is none.
+        event_id: value of the ``id`` field, None if there is none that a request could name.
         data: data lines joined by line feeds.
         fields: the other fields, name to value.
+        is_text: whether the event is UTF-8; if not, nothing but its block can be used.
     """
 
     block: bytes
     event_id: str | None
     data: str
     fields: dict[str, str]
+    is_text: bool = True
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether the event consists of empty lines or comments alone."""
+        return self.is_text and self.event_id is None and not self.data and not self.fields
 
 
 def _parse(block: bytes) -> StreamEvent:
     event_id: str | None = None
     data: list[str] = []
     fields: dict[str, str] = {}
-    for line in block.decode("utf-8", "surrogateescape").replace("\r\n", "\n").split("\n"):
+    try:
+        text = block.decode()
+    except UnicodeDecodeError:
+        return StreamEvent(block, None, "", {}, is_text=False)
+    for line in text.replace("\r\n", "\n").split("\n"):
         if not line or line.startswith(":"):
             continue
         name, _, value = line.partition(":")
         value = value.removeprefix(" ")
         if name == "id":
-            event_id = value
+            # The id is sent back in a header, which takes no other characters.
+            event_id = value if value.isascii() and value.isprintable() else None
         elif name == "data":
             data.append(value)
         else:
@@ -49,8 +61,16 @@
         """Whether the buffer holds the beginning of an incomplete event."""
         return bool(self._buffer.strip())
 
+    @property
+    def rest(self) -> bytes:
+        """Received bytes that belong to no complete event."""
+        return self._buffer
+
     def feed(self, data: bytes) -> list[StreamEvent]:
-        """Add received bytes and return the events that are complete now."""
+        """Add received bytes and return the events that are complete now.
+
+        The blocks of all events and the rest together are the bytes as received.
+        """
         self._buffer += data
         events: list[StreamEvent] = []
         while True:
@@ -59,8 +79,7 @@
                 return events
             block = self._buffer[: end + length]
             self._buffer = self._buffer[end + length :]
-            if block.strip():
-                events.append(_parse(block))
+            events.append(_parse(block))
 
     def _find_end(self) -> tuple[int, int]:
         """Return the index where the first event ends, -1 if none does, and the length of its empty line."""
--- a/src/worksramp/routing/live_stream.py
+++ b/src/worksramp/routing/live_stream.py
@@ -124,15 +124,20 @@
     async def _events(self, answer: WorkerAnswer) -> AsyncIterator[bytes]:
         """Yield complete events, and resume the stream whenever it breaks."""
         last_id = self._request.resume_after
+        # After an event whose id is not known, a resumed stream would repeat or skip events.
+        is_id_known = True
         while True:
             splitter = EventSplitter()
             reason = "ended inside an event"
             try:
                 async for chunk in answer.body:
                     for event in splitter.feed(chunk):
+                        is_id_known = is_id_known and (event.is_empty or event.event_id is not None)
                         last_id = event.event_id or last_id
                         yield event.block
                 if not splitter.has_partial_event:
+                    if splitter.rest:
+                        yield splitter.rest
                     self._record_answered()
                     self._quarantine.record_complete_answer(self._request.fingerprint)
                     return
@@ -144,6 +149,8 @@
             logger.info(
                 "stream_broken", request_id=self._request.request_id, last_event_id=last_id, reason=reason
             )
+            if not is_id_known:
+                raise WorkerAnswerBrokenError(f"an event has no usable id, not resumed: {reason}")
             answer = await self._resume(last_id, reason)
 
     async def _resume(self, last_id: str | None, reason: str) -> WorkerAnswer:
--- a/src/worksramp_emulator/batch_fleet.py
+++ b/src/worksramp_emulator/batch_fleet.py
@@ -90,6 +90,7 @@
         is_application: whether it answers live requests instead of running items.
         late_orders: share of orders that are not answered and are applied later.
         break_share: share of events, or of scoring calls, at which the connection breaks.
+        spoilt_share: share of events that hold a byte that is not UTF-8.
         fail_share: share of runs or scoring calls that end with status 500.
         failing_items: ids of items or scoring calls that always end with status 500.
         impossible_items: ids of items that always end with status 422.
@@ -105,6 +106,7 @@
     is_application: bool = False
     late_orders: float = 0.0
     break_share: float = 0.0
+    spoilt_share: float = 0.0
     fail_share: float = 0.0
     failing_items: set[str] = field(default_factory=set)
     impossible_items: set[str] = field(default_factory=set)
@@ -298,6 +300,9 @@
             if self._fleet.rng.random() < worker.break_share:
                 yield block[: len(block) // 2]
                 raise WorkerAnswerBrokenError(worker.entry.worker_id)
+            if worker.spoilt_share and self._fleet.rng.random() < worker.spoilt_share:
+                yield block.replace(b"data: ", b"data: \xff")
+                continue
             self._fleet.emitted_versions.setdefault((item_id, number), set()).add(version)
             self._fleet.emitted_at.setdefault((item_id, number), []).append((anyio.current_time(), version))
             yield block
--- a/src/worksramp_emulator/simulation/batch_faults.py
+++ b/src/worksramp_emulator/simulation/batch_faults.py
@@ -135,6 +135,10 @@
         r"workers break off their answers for (\d+) s",
         functools.partial(set_on_workers, name="break_share", value=0.03),
     ),
+    (
+        r"workers spoil bytes of events for (\d+) s",
+        functools.partial(set_on_workers, name="spoilt_share", value=0.03),
+    ),
     (r"orders are late for (\d+) s", functools.partial(set_on_workers, name="late_orders", value=0.5)),
 ]
 
--- a/tests/features/batches.feature
+++ b/tests/features/batches.feature
@@ -32,6 +32,7 @@
       | a worker is slow for 6 s                  | 7     |
       | a worker crashes                          | 7     |
       | workers break off their answers for 5 s   | 9     |
+      | workers spoil bytes of events for 5 s     | 9     |
       | orders are late for 6 s                   | 14    |
 
   Scenario: a machine that is killed between orders does not wait for itself
