A live stream ends at its route's timeout and its client's deadline

Cause: the end time of a request covered the opening of a stream, not passing it on, nor a resumption, nor a client that doesn't read.

Mend: StreamAnswer carries its end; send_stream breaks the response off then, incomplete, as for a stream that can't be completed. Leaving it closes the worker's connection and frees its slot (both counted in the tests).

--- a/src/worksramp/edge/asgi.py
+++ b/src/worksramp/edge/asgi.py
@@ -94,13 +94,22 @@
     await send({"type": "http.response.body", "body": response.body, "more_body": False})
 
 
-async def send_stream(send: Send, status: int, headers: Headers, chunks: AsyncIterator[bytes]) -> None:
+async def send_stream(
+    send: Send, status: int, headers: Headers, chunks: AsyncIterator[bytes], ends_at: float = math.inf
+) -> None:
     """Send a response chunk by chunk.
 
-    If ``chunks`` raises an error, the final message is not sent, so that the caller can see that the response
-    is incomplete.
+    If ``chunks`` raises an error, or the time is up, the final message is not sent, so that the caller can
+    see that the response is incomplete.
+
+    Args:
+        ends_at: time at which the response is broken off, also while the caller does not read.
+
+    Raises:
+        TimeoutError: the response was broken off.
     """
-    await send({"type": "http.response.start", "status": status, "headers": headers})
-    async for chunk in chunks:
-        await send({"type": "http.response.body", "body": chunk, "more_body": True})
-    await send({"type": "http.response.body", "body": b"", "more_body": False})
+    with anyio.fail_after(max(0.0, ends_at - anyio.current_time())):
+        await send({"type": "http.response.start", "status": status, "headers": headers})
+        async for chunk in chunks:
+            await send({"type": "http.response.body", "body": chunk, "more_body": True})
+        await send({"type": "http.response.body", "body": b"", "more_body": False})
--- a/src/worksramp/routing/live_stream.py
+++ b/src/worksramp/routing/live_stream.py
@@ -34,11 +34,17 @@
 
 @dataclass(frozen=True, slots=True)
 class StreamAnswer:
-    """A worker's stream; ``events`` raises WorkerAnswerBrokenError if the stream cannot be completed."""
+    """A worker's stream.
+
+    Attributes:
+        events: its events; raises WorkerAnswerBrokenError if the stream cannot be completed.
+        ends_at: when the stream must have ended, on this node's clock, whatever its worker and its caller do.
+    """
 
     status: int
     headers: HeaderList
     events: AsyncIterator[bytes]
+    ends_at: float
 
 
 class LiveStream:
@@ -77,7 +83,7 @@
                 return None
             if answer.status >= FIRST_FAILURE_STATUS:
                 return await self._read_failure(answer, worker)
-            return StreamAnswer(answer.status, answer.headers, self._events(answer))
+            return StreamAnswer(answer.status, answer.headers, self._events(answer), self._ends_at)
         self._history.last_reason = "deadline"
         return None
 
--- a/tests/unit/test_forward.py
+++ b/tests/unit/test_forward.py
@@ -1,6 +1,5 @@
 """Attempts of live requests: which may be repeated, when a request is not run, and whose answer is used."""
 
-import math
 import random
 from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack, asynccontextmanager
@@ -11,6 +10,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from worksramp.edge.asgi import Message, send_stream
 from worksramp.logs import configure_logs
 from worksramp.routing.attempts import LiveRequest, WholeAnswer
 from worksramp.routing.forward import Forwarder, ForwardOutcome, MayHaveRun, NotRun
@@ -105,9 +105,13 @@
     port: ScriptedPort,
     on: Route,
     num_workers: int = 3,
-    take_s: float = math.inf,
+    is_read: bool = True,
 ) -> tuple[ForwardOutcome, float, bytes]:
-    """Forward one request; return the outcome, the seconds it took, and the bytes of a stream."""
+    """Forward one request; return the outcome, the seconds it took, and the bytes of a stream.
+
+    Args:
+        is_read: whether the caller reads the stream.
+    """
     configure_logs("error")
     directory = WorkerDirectory()
     for number in range(num_workers):
@@ -121,16 +125,24 @@
         async with AsyncExitStack() as stack:
             outcome = await forwarder.forward(request, on, stack)
             if isinstance(outcome, StreamAnswer):
+
+                async def receive(message: Message) -> None:
+                    nonlocal streamed
+                    streamed += message.get("body", b"")
+                    if not is_read:
+                        await anyio.sleep_forever()
+
                 try:
-                    with anyio.move_on_after(take_s):
-                        async for block in outcome.events:
-                            streamed += block
+                    await send_stream(receive, outcome.status, [], outcome.events, outcome.ends_at)
                 except WorkerAnswerBrokenError:
                     streamed += b"(cut)"
+                except TimeoutError:
+                    streamed += b"(overdue)"
         return outcome, anyio.current_time() - now, streamed
 
     result = run_simulated(main, 1)
     assert port.num_open == 0
+    assert all(state.num_in_flight == 0 for state in directory.all_states())
     return result
 
 
@@ -275,6 +287,31 @@
     assert len(port.sent) == 1
 
 
+@pytest.mark.parametrize("is_resumable", [False, True])
+def test_a_stream_whose_worker_falls_silent_ends_at_the_timeout_of_its_route(is_resumable: bool) -> None:
+    # Streams whose worker was silent after the head were held for as long as the client stayed.
+    port = ScriptedPort([Script("silent", events=(event(1),))])
+    _, seconds, streamed = forward_one(port, route(RouteKind.STREAMING, is_resumable=is_resumable))
+    assert streamed.decode() == event(1) + "(overdue)"
+    assert seconds == pytest.approx(0.8)
+
+
+@pytest.mark.parametrize("second", [Script("answer", seconds=5.0), Script("silent")])
+def test_a_resumed_stream_ends_at_the_timeout_of_its_route(second: Script) -> None:
+    # The worker that took a stream up was waited for without an end.
+    port = ScriptedPort([Script("cut", events=(event(1),)), second])
+    _, seconds, streamed = forward_one(port, route(RouteKind.STREAMING, is_resumable=True))
+    assert streamed.decode() == event(1) + "(overdue)"
+    assert seconds == pytest.approx(0.8)
+
+
+def test_a_stream_whose_client_does_not_read_ends_at_the_timeout_of_its_route() -> None:
+    # A client that does not read must not hold its worker's connection.
+    port = ScriptedPort([Script("answer", events=(event(1), event(2)))])
+    _, seconds, _ = forward_one(port, route(RouteKind.STREAMING), is_read=False)
+    assert seconds == pytest.approx(0.8)
+
+
 @settings(max_examples=300, deadline=None)
 @given(
     scripts=st.lists(
@@ -293,7 +330,7 @@
 def test_whatever_workers_do_a_request_that_may_run_once_runs_once(scripts: list[Script], on: Route) -> None:
     # Each way in which an attempt can end decides whether another may follow, and what the caller is told.
     port = ScriptedPort(scripts)
-    outcome, _, _ = forward_one(port, on, take_s=2.0)
+    outcome, _, _ = forward_one(port, on)
     ran = [script for script in scripts[: len(port.sent)] if script.kind not in NOT_RUN_KINDS]
     assert len(ran) <= 1
     assert not (ran and isinstance(outcome, NotRun))
