Requests at a node that stops are refused or answered in time

Cause: the node waits for requests in flight up to 0.85 of the grace period and then ends its HTTP server, which ends the requests that are left by cancelling them; the server answers a cancelled request with 500. And requests that come after callers were sent elsewhere were begun without regard to the time left.

Mend: NodeStop (a module of its own, out of the node) holds the times of the stop. Requests in flight are given up at that point with their true answer, 502 ("may have run"), while it can still be sent; one that comes after callers were sent elsewhere is begun only if it must end before the node does, else it is refused at once as not run. Streams in flight run on as before.

--- a/src/worksramp/edge/node.py
+++ b/src/worksramp/edge/node.py
@@ -6,6 +6,7 @@
 import uuid
 from collections import Counter
 from collections.abc import Callable
+from contextlib import AsyncExitStack
 from dataclasses import dataclass, field
 
 import anyio
@@ -23,6 +24,7 @@
 from worksramp.duties.usage_publisher import UsagePublisher
 from worksramp.duties.wall_time import WallTime
 from worksramp.edge.metrics import NodeMetrics
+from worksramp.edge.node_stop import NodeStop
 from worksramp.edge.observed_log import ObservedLog
 from worksramp.edge.ports import (
     PlatformRecords,
@@ -37,13 +39,16 @@
 from worksramp.rollout.batch_service import BatchService, ServiceTimes
 from worksramp.rollout.batch_values import BatchValues
 from worksramp.rollout.owner_context import TableSource
-from worksramp.routing.forward import Forwarder, ForwardOutcome
+from worksramp.routing.attempts import LiveRequest
+from worksramp.routing.forward import Forwarder, ForwardOutcome, MayHaveRun, NotRun
 from worksramp.routing.quarantine import Quarantine
 from worksramp.routing.table import Route, RouteTable
 from worksramp.routing.worker_port import WorkerPort
 from worksramp.routing.workers import WorkerDirectory
 
 BOOT_CHARACTERS = 8
+#: The caller goes to another node then.
+STOPPING_RETRY_AFTER_S = 0.05
 STOP_TICK_SECONDS = 0.05
 USAGE_FLUSH_S = 0.5
 USABLE = "usable"
@@ -108,7 +113,7 @@
         directory: workers of all services.
         named_versions: newest version of each model that a trainer has named.
         num_in_flight: requests being answered; the HTTP application counts them.
-        is_stopping: whether the node has begun to stop.
+        stopping: progress of the node's stop.
         quarantine: keeps requests that crash workers from workers.
         usage: counts the requests of this node, None if usage is not reported.
         forwarder: forwards live requests.
@@ -128,7 +133,7 @@
     directory: WorkerDirectory = field(default_factory=WorkerDirectory)
     named_versions: dict[str, int] = field(default_factory=dict)
     num_in_flight: int = 0
-    is_stopping: bool = False
+    stopping: NodeStop = field(default_factory=NodeStop)
     quarantine: Quarantine = field(init=False)
     forwarder: Forwarder = field(init=False)
     shard: BatchShard = field(init=False)
@@ -320,7 +325,7 @@
     @property
     def is_ready(self) -> bool:
         """Whether new callers should be sent to this node."""
-        return self.is_loaded and not self.is_stopping and _may_be_ready(self)
+        return self.is_loaded and not self.stopping.is_begun and _may_be_ready(self)
 
     def is_table_fresh(self) -> bool:
         """Return whether the configuration in force was confirmed within its bound."""
@@ -348,6 +353,20 @@
         services = ",".join(f"{service}:{num}" for service, num in sorted(counts.items()))
         logger.info("workers_loaded", position=self._workers.position, services=services)
 
+    async def forward(self, request: LiveRequest, route: Route, stack: AsyncExitStack) -> ForwardOutcome:
+        """Forward a live request; a node that stops refuses those that it could not answer in time.
+
+        Args:
+            stack: holds the connection of a stream; the caller closes it once the answer has been passed on.
+        """
+        if not self.stopping.may_begin(anyio.current_time(), request.ends_at(route)):
+            logger.info("request_refused_for_stop", request_id=request.request_id)
+            return NotRun("stopping", STOPPING_RETRY_AFTER_S)
+        with self.stopping.limit():
+            return await self.forwarder.forward(request, route, stack)
+        logger.warning("request_given_up_for_stop", request_id=request.request_id)
+        return MayHaveRun("stopping", is_late=False)
+
     async def stop(self) -> None:
         """Release the shard, serve until callers are sent to other nodes, and finish requests in flight.
 
@@ -355,14 +374,11 @@
         still in flight.
         """
         started_at = anyio.current_time()
-        self.is_stopping = True
-        grace = self.settings.bounds.grace
+        self.stopping.begin(started_at, self.settings.bounds.grace)
         logger.info("stopping", num_in_flight=self.num_in_flight, is_owner=self.shard.is_owner)
         await self.shard.stop()
-        # The platform polls readiness about once a second and stops sending callers after two misses.
-        leave_at = started_at + min(3.2, grace / 2)
-        while anyio.current_time() < started_at + 0.85 * grace:
-            if anyio.current_time() >= leave_at and self.num_in_flight == 0:
+        while anyio.current_time() < self.stopping.ends_at:
+            if anyio.current_time() >= self.stopping.leaves_at and self.num_in_flight == 0:
                 break
             await anyio.sleep(STOP_TICK_SECONDS)
         if self.usage is not None:
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -366,7 +366,7 @@
 def test_a_stopping_node_closes_connections_and_is_not_ready() -> None:
     async def scenario(deployment: Deployment) -> None:
         assert (await deployment.client(8002).get("/api/readyz")).status_code == 200
-        deployment.node.is_stopping = True
+        deployment.node.stopping.begin(anyio.current_time(), grace_s=8.0)
         assert (await deployment.client(8002).get("/api/readyz")).status_code == 503
         answer = await deployment.client().get("/nowhere/")
         assert answer.headers["connection"] == "close"
--- a/tests/platform/test_signals.py
+++ b/tests/platform/test_signals.py
@@ -62,6 +62,15 @@
         group.cancel_scope.cancel()
 
 
+async def post_until_taken(node: Running, answers: list[int]) -> None:
+    """Send a request, again while it is refused, since the node may not have seen the worker yet."""
+    headers = {"host": HOST, "X-Worksramp-Attempt-Id": "r1", "X-Worksramp-Deadline-Ms": "20000"}
+    async with httpx.AsyncClient(base_url=f"http://{node.front}", timeout=READY_SECONDS) as client:
+        while (answer := await client.post("/checks/1", headers=headers)).status_code == 503:
+            await anyio.sleep(0.05)
+    answers.append(answer.status_code)
+
+
 async def wait_not_ready(node: Running) -> None:
     async with httpx.AsyncClient() as client:
         with anyio.fail_after(READY_SECONDS):
@@ -88,18 +97,7 @@
     async def scenario(node: Running) -> None:
         async with holding_worker(node) as worker, anyio.create_task_group() as group:
             answers: list[int] = []
-
-            async def request() -> None:
-                async with httpx.AsyncClient(
-                    base_url=f"http://{node.front}", headers={"host": HOST}, timeout=READY_SECONDS
-                ) as client:
-                    headers = {"X-Worksramp-Attempt-Id": "r1", "X-Worksramp-Deadline-Ms": "20000"}
-                    # The node may not have seen the worker yet.
-                    while (answer := await client.post("/checks/1", headers=headers)).status_code == 503:
-                        await anyio.sleep(0.05)
-                    answers.append(answer.status_code)
-
-            group.start_soon(request)
+            group.start_soon(post_until_taken, node, answers)
             with anyio.fail_after(READY_SECONDS):
                 while not worker.num_begun:
                     await anyio.sleep(0.02)
@@ -115,6 +113,25 @@
     run_scenario(tmp_path, scenario, grace_s=6.0)
 
 
+def test_a_request_that_outlasts_the_stop_is_answered_and_not_by_an_error_of_the_node(tmp_path: Path) -> None:
+    # A request in flight at the end of the grace period got a 500 of the node's own.
+    async def scenario(node: Running) -> None:
+        async with holding_worker(node) as worker, anyio.create_task_group() as group:
+            answers: list[int] = []
+            group.start_soon(post_until_taken, node, answers)
+            with anyio.fail_after(READY_SECONDS):
+                while not worker.num_begun:
+                    await anyio.sleep(0.02)
+            node.process.send_signal(TERM)
+            with anyio.fail_after(READY_SECONDS):
+                while node.process.poll() is None:
+                    await anyio.sleep(0.05)
+            assert answers == [502]
+            assert node.process.returncode == 0
+
+    run_scenario(tmp_path, scenario)
+
+
 def write_package(folder: Path, process_module: str) -> None:
     """Write a start program whose node is ``process_module``."""
     shutil.copy(START, folder / "start.py")
