Workers that are gone are removed in time after every outage of the store

Found by a test that failed once the claims drew other random numbers: test_outages (workers that do not come back are removed within 2.4 s of the store's return). Traced: it had held by its one seed.

Cause: 0.4 s of pause between refused reads, 2.0 s for which entries are kept and 0.1 s of the check's period add up to 2.5 s.

Mend: pauses of at most 0.3 s, checked each 0.05 s. The test now runs on its seed and on three that fail on (128, 140, 160); its bound is as it was.

--- a/src/worksramp/coordination/keyed_replica.py
+++ b/src/worksramp/coordination/keyed_replica.py
@@ -22,7 +22,8 @@
 )
 
 PAUSE_AFTER_ERROR_SECONDS = 0.05
-MAX_PAUSE_AFTER_ERROR_SECONDS = 0.4
+#: Also how late a node learns at most that the store is available again.
+MAX_PAUSE_AFTER_ERROR_SECONDS = 0.3
 BARRIER_WAIT_SECONDS = 0.0
 #: Pause after an answer with records while a caller waits for a change, instead of the longer usual one.
 SHORT_GATHER_S = 0.02
--- a/src/worksramp/edge/worker_entries.py
+++ b/src/worksramp/edge/worker_entries.py
@@ -10,7 +10,7 @@
 from worksramp.routing.quarantine import Quarantine
 from worksramp.routing.workers import START_UNKNOWN, WorkerDirectory, WorkerEntry
 
-DROP_TICK_SECONDS = 0.1
+DROP_TICK_SECONDS = 0.05
 #: An entry that is removed this soon after an outage of the store is taken to have expired because of it.
 OUTAGE_GRACE_SECONDS = 1.0
 #: According to the users, workers write their expired entries again within this time after an outage of the
--- a/tests/unit/test_outages.py
+++ b/tests/unit/test_outages.py
@@ -91,7 +91,9 @@
     simulate(1, work)
 
 
-def test_workers_that_do_not_come_back_are_removed_within_the_bound_of_draining_ones() -> None:
+@pytest.mark.parametrize("seed", [1, 128, 140, 160])
+def test_workers_that_do_not_come_back_are_removed_within_the_bound_of_draining_ones(seed: int) -> None:
+    # A node that learned late of the store's return kept workers that were gone for up to 2.5 s.
     async def work(world: BatchWorld) -> None:
         world.store.faults.is_down = True
         await anyio.sleep(4.0)
@@ -100,7 +102,7 @@
         await anyio.sleep(2.4)
         assert usable(world) == [0] * 8
 
-    simulate(1, work)
+    simulate(seed, work)
 
 
 def test_an_entry_removed_without_an_outage_removes_the_worker() -> None:
