A stream may be resumed again once an event has named its id; times of a node apart

The attempt's end is a method, not a setattr. The three functions that derive times from a deployment's bounds move out of edge/node.py, which had grown over 400 lines, to edge/timing.py; their code is as it was.

--- a/src/worksramp/edge/node.py
+++ b/src/worksramp/edge/node.py
@@ -14,7 +14,6 @@
 
 from worksramp.coordination.elapsed import ElapsedClock, monotonic_s
 from worksramp.coordination.keyed_replica import Change, KeyedReplica
-from worksramp.coordination.log_lease import LeaseTimes
 from worksramp.coordination.shared_log import SharedLog
 from worksramp.coordination.value_store import ValueStore
 from worksramp.duties.holder import Duties, DutyContext
@@ -32,8 +31,9 @@
     UnreadableRecord,
     VersionNamed,
 )
-from worksramp.edge.settings import DutyKind, EdgeBounds, EdgeSettings
+from worksramp.edge.settings import DutyKind, EdgeSettings
 from worksramp.edge.shard import BatchShard, ShardContext
+from worksramp.edge.timing import gather_seconds, lease_times, poll_seconds
 from worksramp.edge.worker_entries import WorkerEntries
 from worksramp.mechanisms import mechanism
 from worksramp.rollout.batch_service import BatchService, ServiceTimes
@@ -57,35 +57,6 @@
 logger = structlog.get_logger()
 
 
-def poll_seconds(bounds: EdgeBounds) -> float:
-    """Return the longest wait of one poll, in seconds.
-
-    It is short enough to notice a poll that hangs well within the bounds.
-    """
-    return min(bounds.configuration_apply / 4, bounds.settle / 2)
-
-
-def gather_seconds(bounds: EdgeBounds) -> float:
-    """Return the pause after a read of the batches with new records, in seconds.
-
-    With many nodes, reads are their main cost to the store.
-    """
-    return 0.2 * bounds.settle
-
-
-def lease_times(bounds: EdgeBounds) -> LeaseTimes:
-    """Return the times of the owner's lease, as docs/design/prepared-machines.md gives them."""
-    return LeaseTimes(
-        expiry=0.4 * bounds.lease,
-        renewal=0.1 * bounds.lease,
-        order_validity=0.3 * bounds.lease,
-        # An order follows its announcement within the validity of a renewal.
-        order_guard=(1.1 + 0.3) * bounds.lease,
-        max_replica_age=poll_seconds(bounds) + gather_seconds(bounds) + 0.1 * bounds.lease,
-        outage_grace=0.25 * bounds.lease,
-    )
-
-
 @mechanism("unready_when_cut_off", without=lambda node: True)
 def _may_be_ready(node: "EdgeNode") -> bool:
     """Report not ready while this node refuses batches or its configuration may be out of date.
--- a/src/worksramp/routing/attempts.py
+++ b/src/worksramp/routing/attempts.py
@@ -90,6 +90,10 @@
     is_answered: bool = False
     is_ended: bool = False
 
+    def end(self) -> None:
+        """Record that the attempt is over."""
+        self.is_ended = True
+
     @property
     def was_interrupted(self) -> bool:
         """Whether the attempt ended without an answer and without proof that the request has not run."""
--- a/src/worksramp/routing/forward.py
+++ b/src/worksramp/routing/forward.py
@@ -272,7 +272,7 @@
             self._choice.record_failure(request, worker, history, f"broken: {error}")
             await self._quarantine.handle_broken_connection(worker)
         finally:
-            attempt.is_ended = True
+            attempt.end()
             if is_unfinished:
                 history.record_begun(started)
                 # The attempt was cancelled or ran out of time. Without this, a worker that hangs would keep
--- a/src/worksramp/routing/live_stream.py
+++ b/src/worksramp/routing/live_stream.py
@@ -107,7 +107,7 @@
         self._worker, self._attempt = worker, attempt
         worker.begin(running)
         self._attempt_stack.callback(worker.end, running)
-        self._attempt_stack.callback(setattr, attempt, "is_ended", True)
+        self._attempt_stack.callback(attempt.end)
         is_open = False
         try:
             sending = self._port.send(worker.entry, to_worker_request(request, self._ends_at))
@@ -138,7 +138,8 @@
             try:
                 async for chunk in answer.body:
                     for event in splitter.feed(chunk):
-                        is_id_known = is_id_known and (event.is_empty or event.event_id is not None)
+                        if not event.is_empty:
+                            is_id_known = event.event_id is not None
                         last_id = event.event_id or last_id
                         yield event.block
                 if not splitter.has_partial_event:
