--- a/src/worksramp_emulator/log_partition.py
+++ b/src/worksramp_emulator/log_partition.py
@@ -40,6 +40,7 @@
     newest: dict[str, StoredRecord] = field(default_factory=dict)
     checks_condition_first: bool = False
     _producers: dict[str, _Producer] = field(default_factory=dict)
+    _fingerprint: tuple[object, ...] | None = None
 
     def append(
         self, records: tuple[KeyedRecord, ...], fence: Fence | None, expected_end: int | None
@@ -54,6 +55,7 @@
                 return known
         if not is_met:
             return ConditionFailed(len(self.records))
+        self._fingerprint = None
         answer = self._store(records)
         if fence is not None:
             self._record_answer(fence, answer)
@@ -69,6 +71,11 @@
 
     def fingerprint(self) -> tuple[object, ...]:
         """Return a value that is equal for partitions with the same contents."""
+        if self._fingerprint is None:
+            self._fingerprint = self._new_fingerprint()
+        return self._fingerprint
+
+    def _new_fingerprint(self) -> tuple[object, ...]:
         producers = tuple(
             (name, producer.epoch, producer.last_sequence, tuple(producer.answers.items()))
             for name, producer in sorted(self._producers.items())
--- a/tests/unit/lease_orders.py
+++ b/tests/unit/lease_orders.py
@@ -8,6 +8,7 @@
 from collections import deque
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, replace
+from functools import cache
 from typing import cast
 
 import msgspec
@@ -38,6 +39,16 @@
 SEQUENCE_STEP = 100
 
 
+@cache
+def owner_of(value: bytes) -> OwnerRecord:
+    return decode(value, OwnerRecord)
+
+
+@cache
+def record_of(owner: OwnerRecord) -> KeyedRecord:
+    return KeyedRecord(OWNER_KEY, encode(owner))
+
+
 @dataclass(frozen=True, slots=True)
 class FormerClaim(LeaseClaim):
     """Claim of the release before: not fenced, and begun by number 0 of the epoch."""
@@ -101,6 +112,7 @@
     renewals: int = 1
     lost: int = 2
     restarts: int = 0
+    releases: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -125,7 +137,7 @@
 
     def owners(self) -> list[OwnerRecord]:
         """Return the owner's records of the log, in order."""
-        return [decode(record.value, OwnerRecord) for record in self.partition.records]
+        return [owner_of(record.value) for record in self.partition.records]
 
 
 Successor = tuple[str, World]
@@ -227,27 +239,36 @@
         yield f"{node.boot} reads on", _put(world, idx, read)
     if hold.append is None:
         if world.budget.renewals:
-            owner = msgspec.structs.replace(hold.owner, renewal=hold.owner.renewal + 1)
-            sequence = hold.sequence + 1
-            append = AppendOwner(owner, Fence(OWNER_PRODUCER, owner.epoch, sequence), None)
             budget = replace(world.budget, renewals=world.budget.renewals - 1)
-            renewing = replace(node, hold=Hold(owner, sequence, append))
+            renewing = replace(node, hold=_next_hold(hold, is_released=False))
             yield f"{node.boot} renews", _put(replace(world, budget=budget), idx, renewing)
+        if world.budget.releases:
+            budget = replace(world.budget, releases=world.budget.releases - 1)
+            releasing = replace(node, hold=_next_hold(hold, is_released=True))
+            yield f"{node.boot} releases", _put(replace(world, budget=budget), idx, releasing)
         return
     for event, after, outcome in _outcomes(world, hold.append):
         yield f"{node.boot}: {event}", _hold_goes_on(after, idx, hold, outcome)
 
 
+def _next_hold(hold: Hold, is_released: bool) -> Hold:
+    """Return the hold with the next append of its owner's record in progress."""
+    owner = msgspec.structs.replace(hold.owner, renewal=hold.owner.renewal + 1, is_released=is_released)
+    sequence = hold.sequence + 1
+    return Hold(owner, sequence, AppendOwner(owner, Fence(OWNER_PRODUCER, owner.epoch, sequence), None))
+
+
 def _hold_goes_on(world: World, idx: int, hold: Hold, outcome: AppendOutcome) -> World:
     node = world.nodes[idx]
     if is_lease_refused(outcome):
         return _put(world, idx, replace(node, hold=None))
     if not isinstance(outcome, Appended):
         return world
-    stored = decode(world.partition.records[outcome.offset].value, OwnerRecord)
+    stored = owner_of(world.partition.records[outcome.offset].value)
     if stored != hold.owner:
         world = replace(world, wrong_proof=f"{node.boot} was answered for {stored}")
-    return _put(world, idx, replace(node, hold=replace(hold, append=None)))
+    held = None if hold.owner.is_released else replace(hold, append=None)
+    return _put(world, idx, replace(node, hold=held))
 
 
 def _restarts(world: World, idx: int) -> Iterator[Successor]:
@@ -261,7 +282,7 @@
         num_starts=node.num_starts + 1,
         first_sequence=node.first_sequence + SEQUENCE_STEP if node.first_sequence else 0,
         position=len(world.partition.records),
-        owner=None if newest is None else decode(newest.value, OwnerRecord),
+        owner=None if newest is None else owner_of(newest.value),
         claim=None,
         step=None,
         hold=None,
@@ -285,14 +306,14 @@
 
 def _do(partition: LogPartition, append: AppendOwner) -> tuple[LogPartition, AppendOutcome]:
     after = partition.copy()
-    record = KeyedRecord(OWNER_KEY, encode(append.record))
+    record = record_of(append.record)
     return after, after.append((record,), append.fence, append.expected_end)
 
 
 def _read_on(world: World, node: NodeState) -> NodeState:
     owner = node.owner
     for stored in world.partition.records[node.position :]:
-        record = decode(stored.value, OwnerRecord)
+        record = owner_of(stored.value)
         owner = record if node.claim_type is FormerClaim else newer_owner(owner, record)
     return replace(node, position=len(world.partition.records), owner=owner)
 
--- a/tests/unit/test_lease_orders.py
+++ b/tests/unit/test_lease_orders.py
@@ -15,6 +15,7 @@
 #: One renewal of the owner and two claims, with answers lost or late.
 LOST_ANSWERS = Budget(claims=2, renewals=1, lost=2)
 RESTART = Budget(claims=2, renewals=1, lost=1, restarts=1)
+RELEASE = Budget(claims=2, renewals=0, lost=2, releases=1)
 UPGRADE = Budget(claims=2, renewals=1, lost=1)
 
 FindViolation = Callable[[World], str | None]
@@ -81,6 +82,12 @@
     check(start_world(RESTART, checks_condition_first, not checks_condition_first), any_violation)
 
 
+@pytest.mark.parametrize("checks_condition_first", [False, True])
+def test_a_release_that_is_done_late_gives_away_no_later_lease(checks_condition_first: bool) -> None:
+    # The release of a stopped owner may be done after another node, or its own next start, has claimed.
+    check(start_world(RELEASE, checks_condition_first), any_violation)
+
+
 def holder_of_this_release_shares_an_epoch(world: World) -> str | None:
     former = {node.name for node in world.nodes if node.claim_type is FormerClaim}
     shared = two_holders_of_one_epoch(world)
