Reads that the store refuses as too many are repeated no sooner than before

The shorter pause after an error is for a store that is away, so that its return is learnt in time. It also applied to reads refused as too many, where it would add load at the limit: with 300 nodes of six reads a second each the store's 2,000 are nearly used up. Those keep their pause of 0.4 s.

--- a/src/worksramp/coordination/keyed_replica.py
+++ b/src/worksramp/coordination/keyed_replica.py
@@ -24,6 +24,7 @@
 PAUSE_AFTER_ERROR_SECONDS = 0.05
 #: Also how late a node learns at most that the store is available again.
 MAX_PAUSE_AFTER_ERROR_SECONDS = 0.3
+MAX_PAUSE_WHEN_THROTTLED_SECONDS = 0.4
 BARRIER_WAIT_SECONDS = 0.0
 #: Pause after an answer with records while a caller waits for a change, instead of the longer usual one.
 SHORT_GATHER_S = 0.02
@@ -123,12 +124,14 @@
                 if has_changed and self.gather_seconds:
                     await self._gather()
             except LogUnavailableError as error:
+                max_pause = MAX_PAUSE_AFTER_ERROR_SECONDS
                 if error.is_throttled:
+                    max_pause = MAX_PAUSE_WHEN_THROTTLED_SECONDS
                     self._read_less_often()
                 else:
                     self._set_reachable(False, str(error))
                 await anyio.sleep(pause * random.uniform(0.5, 1.0))
-                pause = min(pause * 2, MAX_PAUSE_AFTER_ERROR_SECONDS)
+                pause = min(pause * 2, max_pause)
 
     def _read_less_often(self) -> None:
         if self._pause_factor == 1.0:
