Tests of the lease: a former release's owner renews beside this one's claims

Read through once more: in the exploration of an upgrade the former owner's numbers began at its first sequence instead of 0, so its renewals were refused and none could be late. Now they count on from 0.

--- a/tests/unit/test_lease_orders.py
+++ b/tests/unit/test_lease_orders.py
@@ -44,7 +44,11 @@
 ) -> World:
     """Return a store and three nodes, the first of which holds the lease under epoch 1."""
     nodes = tuple(
-        NodeState(name, claim_type, 0 if has_equal_numbers else SEQUENCE_STEP**power)
+        NodeState(
+            name,
+            claim_type,
+            0 if has_equal_numbers or claim_type is FormerClaim else SEQUENCE_STEP**power,
+        )
         for name, claim_type, power in zip("abc", claim_types, (1, 2, 3), strict=True)
     )
     world = World(LogPartition(checks_condition_first=checks_condition_first), nodes, Budget(1, 0, 0, 0))
