--- a/src/worksramp/routing/attempts.py
+++ b/src/worksramp/routing/attempts.py
@@ -83,12 +83,14 @@
         has_not_run: whether nothing was sent, or the worker states that it has not run the request.
         is_answered: whether the complete answer has arrived.
         is_ended: whether the attempt is over.
+        connection: connection that carried the worker's answer, empty if none came.
     """
 
     worker_id: str
     has_not_run: bool = False
     is_answered: bool = False
     is_ended: bool = False
+    connection: str = ""
 
     def end(self) -> None:
         """Record that the attempt is over."""
@@ -233,6 +235,7 @@
     ) -> bool:
         """Record the head of an answer and return whether it states that the request has not run."""
         now = anyio.current_time()
+        attempt.connection = answer.connection
         attempt.has_not_run = answer.is_other_worker or answer.is_not_run
         if answer.load is not None:
             worker.record_report(answer.load, now)
--- a/src/worksramp/routing/forward.py
+++ b/src/worksramp/routing/forward.py
@@ -140,6 +140,7 @@
             status=getattr(outcome, "status", 0),
             reason=getattr(outcome, "reason", ""),
             workers=",".join(history.tried),
+            connections=",".join(attempt.connection for attempt in history.attempts),
             seconds=round(anyio.current_time() - request.received_at, 4),
         )
         return outcome
--- a/src/worksramp/routing/worker_port.py
+++ b/src/worksramp/routing/worker_port.py
@@ -49,6 +49,7 @@
         signature: signature of the worker, None if the answer carries none.
         load: load of the worker, None if not stated.
         weight_version: weight version that produces the first events, None if not stated.
+        connection: connection that carried the answer, and the number of answers on it; for the logs.
     """
 
     status: int
@@ -60,6 +61,7 @@
     load: ReportedLoad | None
     weight_version: int | None
     body: AsyncIterator[bytes]
+    connection: str = ""
 
     @property
     def is_signed(self) -> bool:
