Gateway role: a connection to a back end carries one call

What callers would see: after a back end has answered once twice, each later call on that connection gets the answer of the call before it. The parser keeps the bytes behind a whole answer and reads them as the next one, also if both came in one write, where a look at the socket shows nothing. Evidence: test_each_call_gets_its_own_answer for applications, scorers and reports of engines; before this change four calls got the answers [1, 1, 2, 2], all three failed; now [1, 2, 3, 4]. Why it works: a second answer travels on the connection of its call only. Weighed: comparing x-request-id, which engines' reports and scorers do not carry back. Cost: a connection a call; the gateway role runs in the examples alone.

--- a/src/worksramp/backends/http.py
+++ b/src/worksramp/backends/http.py
@@ -38,6 +38,9 @@
 MAX_REPLY_BYTES = 8 * 1024 * 1024
 NOT_STARTED_CODE = "not_started"
 SSE_DONE = "[DONE]"
+#: A back end may send a second answer, which nothing in it tells from the next one on the connection. So a
+#: connection carries one call.
+ONE_CALL_HEADERS = {"connection": "close"}
 #: Bytes that separate a header's name from its value and end its line.
 HEADER_SEPARATOR_BYTES = 4
 
@@ -125,9 +128,10 @@
         content: bytes | None = None,
         params: dict[str, str] | None = None,
         timeout_seconds: float = REPLY_TIMEOUT_SECONDS,
+        headers: dict[str, str] | None = None,
     ) -> bytes:
         response = await self._exchange(
-            step, method, address, path, content=content, params=params, timeout_seconds=timeout_seconds
+            step, method, address, path, content, params, headers, timeout_seconds=timeout_seconds
         )
         return response.content
 
@@ -190,7 +194,9 @@
         content = msgspec.json.encode(request)
         url = f"http://{address}/v1/completions"
         with _step_errors(step, address):
-            async with aconnect_sse(self._client, "POST", url, content=content, timeout=timeout) as source:
+            async with aconnect_sse(
+                self._client, "POST", url, content=content, headers=ONE_CALL_HEADERS, timeout=timeout
+            ) as source:
                 response = source.response
                 if response.status_code >= httpx.codes.BAD_REQUEST:
                     body = await response.aread()
@@ -203,14 +209,16 @@
 
     async def report(self, address: str) -> WorkerReport:
         """See `EngineClient.report`."""
-        body = await self._request("engine.report", "GET", address, "/v1/load")
+        body = await self._request("engine.report", "GET", address, "/v1/load", headers=ONE_CALL_HEADERS)
         with _step_errors("engine.report", address):
             return msgspec.json.decode(body, type=WorkerReport)
 
     async def order_load(self, address: str, order: LoadOrder) -> WorkerReport:
         """See `EngineClient.order_load`."""
         content = msgspec.json.encode(order)
-        body = await self._request("engine.order_load", "POST", address, "/v1/weights", content)
+        body = await self._request(
+            "engine.order_load", "POST", address, "/v1/weights", content, headers=ONE_CALL_HEADERS
+        )
         with _step_errors("engine.order_load", address):
             return msgspec.json.decode(body, type=WorkerReport)
 
@@ -223,7 +231,7 @@
         step = "application.call"
         timeout = httpx.Timeout(STREAM_IDLE_TIMEOUT_SECONDS, connect=CONNECT_TIMEOUT_SECONDS)
         url = f"http://{address}{request.path}"
-        headers = {"x-request-id": request.request_id}
+        headers = {"x-request-id": request.request_id, **ONE_CALL_HEADERS}
         with _step_errors(step, address):
             response = await self._client.request(
                 request.method, url, content=request.body, headers=headers, timeout=timeout
@@ -235,7 +243,7 @@
 
     async def report(self, address: str) -> WorkerReport:
         """See `ApplicationClient.report`."""
-        body = await self._request("application.report", "GET", address, "/v1/load")
+        body = await self._request("application.report", "GET", address, "/v1/load", headers=ONE_CALL_HEADERS)
         with _step_errors("application.report", address):
             return msgspec.json.decode(body, type=WorkerReport)
 
@@ -260,7 +268,9 @@
     async def score(self, address: str, prompt: str, completion: str) -> float:
         """See `ScorerClient.score`."""
         content = msgspec.json.encode({"prompt": prompt, "completion": completion})
-        body = await self._request("scorer.score", "POST", address, "/v1/score", content)
+        body = await self._request(
+            "scorer.score", "POST", address, "/v1/score", content, headers=ONE_CALL_HEADERS
+        )
         with _step_errors("scorer.score", address):
             return msgspec.json.decode(body, type=ScoreReply).reward
 
