Answers belong to the call whose id they name

Cause: an answer was matched by its id alone, on connections that carried one id many times (a caller that uses it again, items, resumptions, scoring calls), failures needed no id, and orders and reports had none at all. A second answer may arrive in the place of any later one. Class: an answer matched by something that is not unique where it can arrive. Change: worksramp.connections sends all that goes to workers. Why it works: a second answer travels on the connection of its request only, so on a connection that has carried an id once, an answer with that id is the call's own.

--- /dev/null
+++ b/src/worksramp/connections/connection.py
@@ -0,0 +1,214 @@
+"""One connection to a worker, which carries one call at a time and each id once."""
+
+import select
+from collections.abc import AsyncIterator, Callable
+from dataclasses import dataclass
+
+import anyio
+import anyio.abc
+import structlog
+
+from worksramp.connections.answers import (
+    AnswerEnd,
+    AnswerError,
+    AnswerHead,
+    AnswerPart,
+    AnswerReader,
+    Call,
+    DataNeeded,
+    ReaderEvent,
+    SurplusAnswer,
+)
+from worksramp.connections.errors import CallError
+
+READ_SIZE_B = 256 * 1024
+#: Ids that a connection remembers. It is replaced after that many calls, which bounds its memory.
+MAX_CALLS_PER_CONNECTION = 1000
+MAX_LOGGED_ID_CHARACTERS = 64
+#: An answer to one of these has no body whatever its head says, so no other answer may be read in its place.
+METHODS_WITHOUT_BODY = frozenset(["HEAD", "CONNECT"])
+
+logger = structlog.get_logger()
+
+
+@dataclass(frozen=True, slots=True)
+class ConnectionName:
+    """Names a connection in the logs.
+
+    Attributes:
+        address: ``host:port`` of the worker.
+        number: number of the connection in its pool, from 1.
+    """
+
+    address: str
+    number: int
+
+
+class WorkerConnection:
+    """Connection on which the id of an answer tells whose answer it is, since no id is sent on it twice.
+
+    Args:
+        stream: the open connection.
+        id_header: lower-case name of the header that holds the id of an answer's call.
+        on_surplus: called for each answer that belonged to another call.
+    """
+
+    def __init__(
+        self,
+        stream: anyio.abc.ByteStream,
+        name: ConnectionName,
+        id_header: bytes,
+        on_surplus: Callable[[], None],
+    ) -> None:
+        self._stream = stream
+        self._name = name
+        self._reader = AnswerReader(id_header)
+        self._on_surplus = on_surplus
+        self._opened_at = anyio.current_time()
+        # Hashes take less memory than ids. Two ids with one hash only make the second use another connection.
+        self._carried: set[int] = set()
+        self._has_failed = False
+        self._is_last_call = False
+        self.idle_since = self._opened_at
+
+    @property
+    def label(self) -> str:
+        """Number of the connection and of its calls, for the logs."""
+        return f"{self._name.number}/{len(self._carried)}"
+
+    @property
+    def may_carry_another(self) -> bool:
+        """Whether the connection may be used for another call."""
+        return not self._has_failed and not self._is_last_call and self._reader.may_carry_another
+
+    def may_carry(self, call: Call) -> bool:
+        """Return whether the answer to this call could be told from all other answers on the connection."""
+        if not self._carried:
+            return True
+        if call.may_be_unnamed or call.method in METHODS_WITHOUT_BODY:
+            return False
+        return hash(call.call_id) not in self._carried
+
+    async def send(self, call: Call) -> AnswerHead:
+        """Send a call and return the head of its answer, skipping the answers to other calls.
+
+        Raises:
+            CallError: there is no answer; the call may have been executed.
+        """
+        self._carried.add(hash(call.call_id))
+        self._is_last_call = (
+            call.method in METHODS_WITHOUT_BODY or len(self._carried) >= MAX_CALLS_PER_CONNECTION
+        )
+        try:
+            await self._stream.send(self._reader.begin(call))
+        except AnswerError as error:
+            raise CallError(str(error)) from error
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+            # A worker may answer and close before it has read a long call.
+            self._has_failed = True
+        while True:
+            event = await self._next_event()
+            if isinstance(event, AnswerHead):
+                # A second answer without an id could not be told from an answer to a later call.
+                self._is_last_call = self._is_last_call or not event.is_named
+                return event
+            if isinstance(event, SurplusAnswer):
+                self._record_surplus(event, call)
+
+    async def body(self) -> AsyncIterator[bytes]:
+        """Yield the body of the answer as it arrives.
+
+        Raises:
+            CallError: the connection broke before the end of the answer.
+        """
+        while not isinstance(event := await self._next_event(), AnswerEnd):
+            if isinstance(event, AnswerPart):
+                yield event.data
+
+    def mark_failed(self) -> None:
+        """Have the connection closed after its call."""
+        self._has_failed = True
+
+    def finish(self) -> None:
+        """Read the rest of an answer whose body is not wanted, as far as it has arrived already."""
+        if self._has_failed or self._reader.is_answered:
+            return
+        try:
+            while not isinstance(self._reader.next_event(), AnswerEnd | DataNeeded):
+                pass
+        except AnswerError:
+            self._has_failed = True
+
+    async def settle(self) -> bool:
+        """Read what has arrived since the last call; return whether another call can be sent.
+
+        Whole answers to former calls are skipped. Anything else, or the end of the connection, would be met
+        by the next call.
+        """
+        if not self._reader.has_unread and not self._is_readable():
+            return True
+        self._reader.begin_idle()
+        try:
+            while True:
+                event = self._reader.next_event()
+                if isinstance(event, SurplusAnswer):
+                    self._record_surplus(event, None)
+                elif not self._is_readable():
+                    return self._reader.end_idle()
+                else:
+                    self._reader.feed(await self._receive())
+        except (AnswerError, CallError) as error:
+            logger.debug("idle_connection_dropped", worker=self._name.address, reason=str(error))
+            return False
+
+    async def aclose(self) -> None:
+        """Close the connection."""
+        self._has_failed = True
+        await self._stream.aclose()
+
+    async def _next_event(self) -> ReaderEvent:
+        try:
+            while isinstance(event := self._reader.next_event(), DataNeeded):
+                self._reader.feed(await self._receive())
+        except AnswerError as error:
+            self._has_failed = True
+            raise CallError(str(error)) from error
+        return event
+
+    async def _receive(self) -> bytes:
+        """Return received bytes, or none once the worker has closed the connection."""
+        try:
+            return await self._stream.receive(READ_SIZE_B)
+        except anyio.EndOfStream:
+            return b""
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
+            self._has_failed = True
+            raise CallError(f"connection broke: {error.__cause__ or error!r}") from error
+
+    def _is_readable(self) -> bool:
+        """Return whether bytes or the end of the connection can be read without waiting."""
+        sock = self._stream.extra(anyio.abc.SocketAttribute.raw_socket, None)
+        if sock is None:
+            return False
+        if sock.fileno() < 0:
+            return True
+        poll = select.poll()
+        poll.register(sock.fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
+    def _record_surplus(self, surplus: SurplusAnswer, call: Call | None) -> None:
+        self._on_surplus()
+        logger.info(
+            "surplus_answer",
+            request_id="" if call is None else _loggable(call.call_id),
+            answer_id=_loggable(surplus.call_id),
+            is_former_call=hash(surplus.call_id) in self._carried,
+            status=surplus.status,
+            worker=self._name.address,
+            connection=self.label,
+            connection_age_s=round(anyio.current_time() - self._opened_at, 3),
+        )
+
+
+def _loggable(call_id: bytes) -> str:
+    return call_id.decode("latin-1")[:MAX_LOGGED_ID_CHARACTERS]
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -135,7 +135,7 @@
         headers = {key.decode().lower(): value.decode() for key, value in scope["headers"]}
         body = await read_body(receive, MAX_BODY)
         if headers.get("x-worksramp-expect-instance") != self._worker.entry.worker_id:
-            await send_response(send, json_response(421, {}))
+            await send_response(send, json_response(421, {}, [_id_of(headers["x-worksramp-attempt-id"])]))
         elif scope["path"] == "/api/report":
             await send_response(send, json_response(200, self._report()))
         elif scope["path"] == "/api/order":
@@ -171,11 +171,17 @@
         )
         async with self._port.send(self._worker.entry, request) as answer:
             head = [
-                (b"x-worksramp-attempt-id", request.request_id.encode()),
+                _id_of(request.request_id),
                 (b"x-worksramp-server-stamp", b"stamp"),
                 (b"x-worksramp-weight-versions", str(answer.weight_version).encode()),
             ]
             if answer.is_not_run:
-                await send_response(send, json_response(503, {}, [(b"x-worksramp-not-executed", b"1")]))
+                fields = [_id_of(request.request_id), (b"x-worksramp-not-executed", b"1")]
+                await send_response(send, json_response(503, {}, fields))
                 return
             await send_stream(send, answer.status, head, answer.body)
+
+
+def _id_of(request_id: str) -> tuple[bytes, bytes]:
+    """Return the header with which each answer names its request."""
+    return b"x-worksramp-attempt-id", request_id.encode()
--- a/tests/platform/test_bytes_of_workers.py
+++ b/tests/platform/test_bytes_of_workers.py
@@ -5,7 +5,7 @@
 from contextlib import AsyncExitStack
 
 import anyio
-import httpcore
+import anyio.abc
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from worksramp_platform.workers import PlatformWorkers
@@ -68,12 +68,35 @@
 )
 
 
+class ScriptedStream(anyio.abc.ByteStream):
+    """Connection that gives these bytes and ends."""
+
+    def __init__(self, raw: bytes) -> None:
+        self._raw = raw
+
+    async def receive(self, max_bytes: int = 65536) -> bytes:
+        if not self._raw:
+            raise anyio.EndOfStream
+        data, self._raw = self._raw[:max_bytes], self._raw[max_bytes:]
+        return data
+
+    async def send(self, item: bytes) -> None:
+        pass
+
+    async def send_eof(self) -> None:
+        pass
+
+    async def aclose(self) -> None:
+        pass
+
+
 def workers_that_answer(raw: bytes) -> PlatformWorkers:
     """Return a port whose connections give these bytes for each request."""
-    port = PlatformWorkers()
-    pool = httpcore.AsyncConnectionPool(network_backend=httpcore.AsyncMockBackend([raw]))
-    port._client(WORKER)._pool = pool
-    return port
+
+    async def connect(address: str) -> anyio.abc.ByteStream:
+        return ScriptedStream(raw)
+
+    return PlatformWorkers(connect)
 
 
 @settings(max_examples=400, deadline=None)
--- a/tests/platform/test_connections.py
+++ b/tests/platform/test_connections.py
@@ -7,9 +7,10 @@
 
 import anyio
 import pytest
-from worksramp_platform.http_calls import CallTimeouts, HttpClient, NoConnectionError, Target
+from worksramp_platform.http_calls import CallTimeouts, HttpClient, Target
 
 from tests.platform.test_process import free_address
+from worksramp.connections.errors import NoConnectionError
 
 
 async def failure_of(address: str) -> NoConnectionError:
--- a/tests/unit/test_back_ends_that_answer_twice.py
+++ b/tests/unit/test_back_ends_that_answer_twice.py
@@ -1,4 +1,4 @@
-"""Back ends of the gateway role that answer twice: a second answer is never taken for that of the next call."""
+"""Back ends of the gateway role that answer twice: no second answer is taken for that of the next call."""
 
 import anyio
 import anyio.abc
