Connections to workers: few are kept that a call cannot use, a closed pool leaves none

What could have been seen: an item that a full worker turns away every few hundredths of a second, under its one id, takes a new connection each time and leaves it idle, up to the pool's 64 (read in the code; bounded before as well, at max_connections), while a worker takes few; connections in use when their pool is dropped stayed open. Now the oldest is closed once eight idle ones are of no use to a call.

--- a/src/worksramp/connections/pool.py
+++ b/src/worksramp/connections/pool.py
@@ -12,6 +12,9 @@
 from worksramp.connections.connection import ConnectionName, WorkerConnection
 from worksramp.connections.errors import NoConnectionError, was_refused
 
+#: Idle connections that are kept although a call could use none of them.
+MAX_UNUSABLE_IDLE = 8
+
 Connect = Callable[[str], Awaitable[anyio.abc.ByteStream]]
 
 
@@ -92,6 +95,7 @@
         self._idle: list[WorkerConnection] = []
         self._slots = anyio.Semaphore(limits.max_connections, fast_acquire=True)
         self._num_opened = 0
+        self._is_closed = False
 
     @asynccontextmanager
     async def call(self, call: Call) -> AsyncIterator[Answer]:
@@ -111,15 +115,15 @@
                 connection.mark_failed()
                 raise
             finally:
-                with anyio.CancelScope(shield=True):
-                    await self._release(connection)
+                await self._release(connection)
         finally:
             self._slots.release()
 
     async def aclose(self) -> None:
-        """Close the connections that carry no call."""
-        while self._idle:
-            await self._idle.pop().aclose()
+        """Close the connections that carry no call, and each other one after its call."""
+        self._is_closed = True
+        idle, self._idle = self._idle, []
+        await _close(idle)
 
     async def _wait_for_slot(self) -> None:
         with anyio.move_on_after(self._limits.connect_timeout_s) as waiting:
@@ -130,9 +134,18 @@
     async def _connection_for(self, call: Call) -> WorkerConnection:
         """Return an idle connection that may carry the call, or a new one."""
         while (connection := self._take_idle(call)) is not None:
-            if await connection.settle():
+            is_usable = False
+            try:
+                is_usable = await connection.settle()
+            finally:
+                if not is_usable:
+                    await _close([connection])
+            if is_usable:
                 return connection
-            await connection.aclose()
+        if len(self._idle) >= MAX_UNUSABLE_IDLE:
+            # None of them may carry this call. One that is sent again and again must not collect connections,
+            # of which a worker takes few.
+            await _close([self._idle.pop(0)])
         return await self._open()
 
     def _take_idle(self, call: Call) -> WorkerConnection | None:
@@ -166,13 +179,19 @@
         now = anyio.current_time()
         expired = [idle for idle in self._idle if now - idle.idle_since > self._limits.idle_s]
         self._idle = [idle for idle in self._idle if idle not in expired]
-        if connection.may_carry_another and len(self._idle) < self._limits.max_connections:
+        if connection.may_carry_another and not self._is_closed:
             connection.idle_since = now
             self._idle.append(connection)
         else:
             expired.append(connection)
-        for idle in expired:
-            await idle.aclose()
+        await _close(expired)
+
+
+async def _close(connections: list[WorkerConnection]) -> None:
+    """Close connections, also when the caller has been cancelled."""
+    with anyio.CancelScope(shield=True):
+        for connection in connections:
+            await connection.aclose()
 
 
 def _answer(head: AnswerHead, connection: WorkerConnection) -> Answer:
