One entry with a start time no longer removes a whole fleet without them

Seen by callers: workers whose entries state no start time are all dropped, and every request to them refused, once another writer leaves one entry with `born` among them; again after every restart while it stands.

Cause: the first entry with a start time decided for all others, for the life of the process. One value from outside was trusted to say what all workers are like.

Now the entries that are present decide together, whichever order they came in (start_times.py): those without a start time are workers' if there are more than two of them for each one with it. So the case that the rule was made for stays as it was (its test is unchanged: two entries without a start time beside one worker), and an entry held back is used when the other ones have gone. An entry without a start time is no former start.

Evidence: before, test_one_entry_with_a_start_time_removes_no_worker_of_a_fleet_without_them failed in all four places of the odd entry: assert ['odd'] == ['w1', 'w2', 'w3', 'w4', 'w5']; and test_workers_kept_through_an_outage_of_the_store_count_as_entries with assert 1 == 5.

Remains: a fleet of one or two workers without start times beside one such entry.

--- a/src/worksramp/edge/worker_entries.py
+++ b/src/worksramp/edge/worker_entries.py
@@ -7,6 +7,7 @@
 import structlog
 
 from worksramp.edge.ports import RecordFault, UnreadableRecord, WorkerEvent, WorkerGone, WorkerSeen
+from worksramp.edge.start_times import StartTimes
 from worksramp.routing.quarantine import Quarantine
 from worksramp.routing.workers import START_UNKNOWN, WorkerDirectory, WorkerEntry
 
@@ -42,7 +43,10 @@
     on_change: Callable[[], None]
     is_loaded: Callable[[], bool] = lambda: True
     _logged_faults: dict[str, RecordFault] = field(default_factory=dict)
-    _are_starts_reported: bool = False
+    #: Entries that are refused only for stating a start time, or stating none.
+    _held_back: dict[str, WorkerEntry] = field(default_factory=dict)
+    _starts: StartTimes = field(default_factory=StartTimes)
+    _were_starts_stated: bool = True
 
     def apply(self, event: WorkerEvent) -> None:
         """Apply a change of one entry; one that cannot be used does not affect other workers."""
@@ -52,6 +56,7 @@
             self._apply_gone(event.worker_id)
         else:
             self._refuse(event)
+            self._forget_start(event.key)
         self.on_change()
 
     async def drop_missing(self) -> None:
@@ -63,19 +68,20 @@
             for worker_id in self.directory.missing_since(anyio.current_time()):
                 logger.info("worker_dropped", worker=worker_id)
                 self.directory.remove(worker_id)
+                self._forget_start(worker_id)
                 self.on_change()
 
     def _apply_seen(self, entry: WorkerEntry) -> None:
-        if entry.started_ms != START_UNKNOWN:
-            self._require_starts()
-        elif self._are_starts_reported:
-            self._refuse(
-                UnreadableRecord(
-                    entry.worker_id, "no start time, unlike other entries", RecordFault.BAD_VALUE
-                )
-            )
+        self._held_back.pop(entry.worker_id, None)
+        self._starts.put(entry.worker_id, entry.started_ms != START_UNKNOWN)
+        self._apply_start_times()
+        if not self._is_of_worker(entry):
+            self._hold_back(entry)
             return
-        if self.directory.is_former_start(entry):
+        self._apply_entry(entry)
+
+    def _apply_entry(self, entry: WorkerEntry) -> None:
+        if entry.started_ms != START_UNKNOWN and self.directory.is_former_start(entry):
             reason = f"start time {entry.started_ms} ms is before the known start of the worker"
             self._refuse(UnreadableRecord(entry.worker_id, reason, RecordFault.FORMER_START))
             return
@@ -102,19 +108,33 @@
             is_spot=entry.is_spot,
         )
 
-    def _require_starts(self) -> None:
-        """Refuse the entries without a start time, now and later.
+    def _is_of_worker(self, entry: WorkerEntry) -> bool:
+        return (entry.started_ms != START_UNKNOWN) == self._starts.are_stated
 
-        Either all workers of a platform report their start times or none does. Once one entry has a start
-        time, an entry without one is not that of a worker.
-        """
-        if self._are_starts_reported:
+    def _apply_start_times(self) -> None:
+        """Use the entries of the kind that workers have now, and refuse the others."""
+        if self._starts.are_stated == self._were_starts_stated:
             return
-        self._are_starts_reported = True
+        self._were_starts_stated = self._starts.are_stated
+        entries = list(self._held_back.values())
+        self._held_back.clear()
         for state in self.directory.all_states():
-            if state.entry.started_ms == START_UNKNOWN:
-                reason = "no start time, unlike other entries"
-                self._refuse(UnreadableRecord(state.entry.worker_id, reason, RecordFault.BAD_VALUE))
+            self._hold_back(state.entry)
+        for entry in entries:
+            self._apply_entry(entry)
+
+    def _hold_back(self, entry: WorkerEntry) -> None:
+        """Refuse an entry that states a start time, or states none, unlike those of workers."""
+        self._held_back[entry.worker_id] = entry
+        reason = "a start time" if entry.started_ms != START_UNKNOWN else "no start time"
+        self._refuse(
+            UnreadableRecord(entry.worker_id, f"{reason}, unlike other entries", RecordFault.BAD_VALUE)
+        )
+
+    def _forget_start(self, worker_id: str) -> None:
+        self._held_back.pop(worker_id, None)
+        self._starts.remove(worker_id)
+        self._apply_start_times()
 
     def _apply_gone(self, worker_id: str) -> None:
         """Remove a worker, or keep it for a while if its entry expired because of an outage of the store.
@@ -125,10 +145,12 @@
         was_outage = self.store_recovery_age() < OUTAGE_GRACE_SECONDS
         self._logged_faults.pop(worker_id, None)
         logger.info("worker_gone", worker=worker_id, is_kept=was_outage)
-        if was_outage:
+        if was_outage and self.directory.get(worker_id) is not None:
             self.directory.mark_missing(worker_id, anyio.current_time())
-        else:
-            self.directory.remove(worker_id)
+            return
+        self.directory.remove(worker_id)
+        self._forget_start(worker_id)
+        if not was_outage:
             self.quarantine.handle_worker_gone(worker_id)
 
     def _refuse(self, event: UnreadableRecord) -> None:
--- a/tests/unit/test_worker_starts.py
+++ b/tests/unit/test_worker_starts.py
@@ -5,7 +5,7 @@
 import anyio
 import pytest
 
-from worksramp.edge.ports import RecordFault, UnreadableRecord, WorkerSeen
+from worksramp.edge.ports import RecordFault, UnreadableRecord, WorkerGone, WorkerSeen
 from worksramp.edge.worker_entries import WorkerEntries
 from worksramp.logs import configure_logs
 from worksramp.routing.quarantine import Quarantine
@@ -135,6 +135,49 @@
     assert [state.entry.worker_id for state in directory.usable("fleet")] == ["w1"]
 
 
+# One entry with a start time, left by another writer, removed every worker of a platform without start times.
+@pytest.mark.parametrize("place", [0, 1, 2, 5])
+def test_one_entry_with_a_start_time_removes_no_worker_of_a_fleet_without_them(place: int) -> None:
+    directory, seen = WorkerDirectory(), list[RecordFault]()
+    entries = entries_of(directory, seen)
+    events = [seen_without_start(f"w{number}") for number in range(1, 6)]
+    odd = WorkerSeen(WorkerEntry("odd", "fleet", "odd:1", "z", 6, started_ms=FIRST_MS))
+    for event in [*events[:place], odd, *events[place:], *events]:
+        entries.apply(event)
+    assert [state.entry.worker_id for state in directory.usable("fleet")] == [f"w{n}" for n in range(1, 6)]
+    entries.apply(WorkerGone("odd"))
+    entries.apply(seen_without_start("odd"))
+    assert len(directory.usable("fleet")) == 6
+
+
+def test_a_fleet_with_start_times_is_used_whole_after_the_entries_without_them_came_first() -> None:
+    directory, seen = WorkerDirectory(), list[RecordFault]()
+    entries = entries_of(directory, seen)
+    for name in ("odd-1", "odd-2", "odd-3"):
+        entries.apply(seen_without_start(name))
+    for number in range(1, 6):
+        entries.apply(WorkerSeen(WorkerEntry(f"w{number}", "fleet", "w:1", "z", 6, started_ms=FIRST_MS)))
+    assert [state.entry.worker_id for state in directory.usable("fleet")] == [f"w{n}" for n in range(1, 6)]
+    assert directory.get("odd-1") is None
+
+
+# The entries of workers expire while the store is down, those of other writers do not.
+def test_workers_kept_through_an_outage_of_the_store_count_as_entries() -> None:
+    directory, seen = WorkerDirectory(), list[RecordFault]()
+    entries = entries_of(directory, seen)
+    for number in range(1, 6):
+        entries.apply(seen_without_start(f"w{number}"))
+    entries.apply(WorkerSeen(WorkerEntry("odd", "fleet", "odd:1", "z", 6, started_ms=FIRST_MS)))
+    entries.store_recovery_age = lambda: 0.0
+
+    async def main() -> None:
+        for number in range(1, 6):
+            entries.apply(WorkerGone(f"w{number}"))
+
+    anyio.run(main)
+    assert len(directory.usable("fleet")) == 5
+
+
 def test_an_entry_of_an_earlier_start_removes_the_worker() -> None:
     directory, seen = WorkerDirectory(), list[RecordFault]()
     entries = entries_of(directory, seen)
