--- a/src/worksramp/coordination/keyed_replica.py
+++ b/src/worksramp/coordination/keyed_replica.py
@@ -231,6 +231,9 @@
         if answer.end == self.position:
             self._confirmed_at = started
         self._notify_changed()
+        if not answer.records and answer.end > self.position:
+            # The next record is not whole. The same read would be answered in the same way at once.
+            await anyio.sleep(PAUSE_AFTER_ERROR_SECONDS)
         return bool(answer.records)
 
     async def _load(self) -> None:
