--- a/tests/platform/test_odd_records.py
+++ b/tests/platform/test_odd_records.py
@@ -124,6 +124,8 @@
     entry(seq=2**53),
     entry(born=2**53),
     entry(zone="z" * 200_000),
+    entry(zone="é" * 200),
+    entry(service="é" * 60, zone="z" * 130),
     b'{"service":"fleet","models":' + b"[" * 100_000,
     b'{"service":"fleet","slots":1e999}',
     b'{"service":"fleet","slots":NaN}',
