Bodies of workers' answers: a limit of each, and one of the node

Callers saw: a few requests whose worker sent a body without an end took a node from 40 to 311 MB within two seconds (machines have 330 MB); the process is killed there, and with it all requests in flight.

Cause: an attempt, and the failure of a stream, joined all chunks of a body until it ended or the time was up. Only time was bounded, not bytes. The list of chunks also took many times the bytes of small chunks.

Fix: HeldBytes counts all bytes that the node holds of answers that are not whole. One answer may have 4 MB (answers.max_bytes), all together 16 MB (answers.max_held_bytes, from the 64 MB of the target less the 40 of a node without load and the copies). At the second limit the largest answer is dropped, so that the small answers of others come through. A dropped answer is a broken one: it may have run, its connection is closed, it is sent again only where that is allowed, else 502. Logged (answer_dropped) and counted (answers_dropped_total).

Evidence: tests/unit/test_bytes_without_end.py.

--- a/src/worksramp/edge/metrics.py
+++ b/src/worksramp/edge/metrics.py
@@ -32,6 +32,9 @@
         self.item_runs = self._counter("item_runs", "Runs of items at workers", "outcome")
         self.item_moves = self._counter("item_moves", "Items moved to another worker", "reason")
         self.refusals_for_load = self._counter("refusals_for_load", "Live requests refused for want of room")
+        self.answers_dropped = self._counter(
+            "answers_dropped", "Answers of workers that were dropped because they exceeded a limit", "limit"
+        )
         self.scoring_calls = self._counter("scoring_calls", "Scoring calls at workers", "outcome")
         self.item_seconds = self._histogram(
             "item_seconds", "Age of a batch at the listing of an item", ITEM_BUCKETS
--- a/src/worksramp/edge/node.py
+++ b/src/worksramp/edge/node.py
@@ -41,6 +41,7 @@
 from worksramp.rollout.owner_context import TableSource
 from worksramp.routing.attempts import LiveRequest
 from worksramp.routing.forward import Forwarder, ForwardOutcome, MayHaveRun, NotRun
+from worksramp.routing.held_bytes import HeldBytes
 from worksramp.routing.quarantine import Quarantine
 from worksramp.routing.table import Route, RouteTable
 from worksramp.routing.worker_port import WorkerPort
@@ -87,6 +88,7 @@
         stopping: progress of the node's stop.
         quarantine: keeps requests that crash workers from workers.
         usage: counts the requests of this node, None if usage is not reported.
+        held: counts the bytes of workers' answers that the node holds.
         forwarder: forwards live requests.
         shard: this node's part in the shard of batches.
         batches: handles the calls of trainers about batches.
@@ -106,6 +108,7 @@
     num_in_flight: int = 0
     stopping: NodeStop = field(default_factory=NodeStop)
     quarantine: Quarantine = field(init=False)
+    held: HeldBytes = field(init=False)
     forwarder: Forwarder = field(init=False)
     shard: BatchShard = field(init=False)
     batches: BatchService = field(init=False)
@@ -131,6 +134,11 @@
         )
         boot = uuid.uuid4().hex[:BOOT_CHARACTERS]
         self.usage = self._usage_publisher(boot)
+        self.held = HeldBytes(
+            settings.answers.max_bytes,
+            settings.answers.max_held_bytes,
+            lambda limit: self.metrics.answers_dropped.labels(limit.value).inc(),
+        )
         self.forwarder = Forwarder(
             self.directory,
             self.port,
@@ -140,6 +148,7 @@
             self.quarantine,
             None if self.usage is None else self.usage.count,
             self.metrics.refusals_for_load.inc,
+            self.held,
         )
         self._control = KeyedReplica(
             self.log,
--- a/src/worksramp/edge/settings.py
+++ b/src/worksramp/edge/settings.py
@@ -9,6 +9,7 @@
 
 from worksramp.addresses import reason_bad_address, reason_cannot_listen
 from worksramp.logs import LEVELS
+from worksramp.routing.held_bytes import MAX_ANSWER_B, MAX_HELD_B
 from worksramp.settings_error import SettingsError
 
 MAX_PARTITIONS = 4096
@@ -73,6 +74,18 @@
         return self.cpu_share * self.cpu_speed
 
 
+class AnswerSettings(msgspec.Struct, frozen=True):
+    """Limits of the answers that workers send.
+
+    Attributes:
+        max_bytes: largest body of one answer, and largest event of a stream.
+        max_held_bytes: most bytes that the node holds of all answers that are not whole yet.
+    """
+
+    max_bytes: int = MAX_ANSWER_B
+    max_held_bytes: int = MAX_HELD_B
+
+
 class DutySettings(msgspec.Struct, frozen=True):
     """Duties towards the platform that one node at a time carries out.
 
@@ -111,6 +124,7 @@
         switched_off: names of mechanisms to switch off, to measure their effect.
         machine: processor time of the machine.
         bounds: time bounds of the deployment.
+        answers: limits of the answers that workers send.
         duties: duties towards the platform, None for none.
     """
 
@@ -125,6 +139,7 @@
     switched_off: tuple[str, ...] = ()
     machine: MachineSettings = msgspec.field(default_factory=MachineSettings)
     bounds: EdgeBounds = EdgeBounds()
+    answers: AnswerSettings = AnswerSettings()
     duties: DutySettings | None = None
 
 
@@ -189,6 +204,8 @@
         ("store.max_record_bytes", settings.store.max_record_bytes),
         ("store.max_call_bytes", settings.store.max_call_bytes),
         ("store.num_partitions", settings.store.num_partitions),
+        ("answers.max_bytes", settings.answers.max_bytes),
+        ("answers.max_held_bytes", settings.answers.max_held_bytes),
         ("machine.cpu_share", settings.machine.cpu_share),
         ("machine.cpu_speed", settings.machine.cpu_speed),
         ("duties.window_s", None if settings.duties is None else settings.duties.window_s),
--- a/src/worksramp/routing/forward.py
+++ b/src/worksramp/routing/forward.py
@@ -23,6 +23,7 @@
     to_worker_request,
 )
 from worksramp.routing.hedge import first_result
+from worksramp.routing.held_bytes import HeldBytes
 from worksramp.routing.live_stream import LiveStream, StreamAnswer
 from worksramp.routing.quarantine import Quarantine
 from worksramp.routing.table import Route, RouteKind
@@ -89,6 +90,7 @@
             then.
         quarantine: quarantine of the node; None creates one that covers only the requests forwarded here.
         on_no_room: called for each request that is refused because no worker can answer it in time.
+        held: counts the bytes of all answers that the node holds; None creates one of its own.
     """
 
     def __init__(
@@ -101,8 +103,10 @@
         quarantine: Quarantine | None = None,
         on_begun: BeginObserver | None = None,
         on_no_room: Callable[[], None] = lambda: None,
+        held: HeldBytes | None = None,
     ) -> None:
         self._port = port
+        self._held = held or HeldBytes()
         self._quarantine = quarantine or Quarantine(port, directory, node)
         self._on_outcome = on_outcome
         self._on_begun = on_begun
@@ -163,7 +167,9 @@
                 break
             outcome: ForwardOutcome | None
             if route.kind is RouteKind.STREAMING:
-                stream = LiveStream(self._port, self._choice, self._quarantine, request, route, history)
+                stream = LiveStream(
+                    self._port, self._choice, self._quarantine, self._held, request, route, history
+                )
                 outcome = await stream.open(worker, stack)
             else:
                 outcome = await self._attempt_with_backup(request, route, service, worker, history)
@@ -257,7 +263,7 @@
                         is_unfinished = False
                         return None
                     history.record_begun(started)
-                    body = b"".join([chunk async for chunk in answer.body])
+                    body = await self._held.read_whole(answer, worker.entry.worker_id, request.request_id)
                     attempt.is_answered = True
                     self._choice.record_success(worker, anyio.current_time() - started, answer.load)
                     self._quarantine.record_complete_answer(request.fingerprint)
--- a/src/worksramp/routing/live_stream.py
+++ b/src/worksramp/routing/live_stream.py
@@ -16,6 +16,7 @@
     to_worker_request,
 )
 from worksramp.routing.events import EventSplitter
+from worksramp.routing.held_bytes import HeldBytes
 from worksramp.routing.quarantine import Quarantine
 from worksramp.routing.table import Route
 from worksramp.routing.worker_port import (
@@ -55,6 +56,7 @@
         port: WorkerPort,
         choice: WorkerChoice,
         quarantine: Quarantine,
+        held: HeldBytes,
         request: LiveRequest,
         route: Route,
         history: AttemptHistory,
@@ -62,6 +64,7 @@
         self._port = port
         self._choice = choice
         self._quarantine = quarantine
+        self._held = held
         self._request = request
         self._route = route
         self._history = history
@@ -90,7 +93,7 @@
     async def _read_failure(self, answer: WorkerAnswer, worker: WorkerState) -> WholeAnswer | None:
         """Return an error answer with its complete body, or None if the body could not be read."""
         try:
-            body = b"".join([chunk async for chunk in answer.body])
+            body = await self._held.read_whole(answer, worker.entry.worker_id, self._request.request_id)
             self._record_answered()
         except WorkerAnswerBrokenError as error:
             self._choice.record_failure(self._request, worker, self._history, f"broken: {error}")
--- /dev/null
+++ b/tests/unit/test_bytes_without_end.py
@@ -0,0 +1,198 @@
+"""Workers that send without an end: what a node holds of them, and how long it listens."""
+
+import random
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack
+from dataclasses import dataclass, field
+
+import anyio
+import pytest
+
+from tests.unit.test_forward import DEADLINE_SECONDS, Script, ScriptedPort, forward_one, route
+from worksramp.logs import configure_logs
+from worksramp.routing import held_bytes
+from worksramp.routing.attempts import LiveRequest, WholeAnswer
+from worksramp.routing.forward import Forwarder, ForwardOutcome, MayHaveRun
+from worksramp.routing.held_bytes import (
+    MAX_ANSWER_B,
+    MAX_HELD_B,
+    AnswerSource,
+    AnswerTooLargeError,
+    HeldBytes,
+    HeldLimit,
+)
+from worksramp.routing.live_stream import StreamAnswer
+from worksramp.routing.table import RouteKind
+from worksramp.routing.worker_port import WorkerAnswerBrokenError
+from worksramp.routing.workers import WorkerDirectory, WorkerEntry
+from worksramp_emulator.simulation.clock import run_simulated
+
+CHUNK_B = 64 * 1024
+CHUNK_S = 0.001
+
+
+@dataclass
+class EndlessPort(ScriptedPort):
+    """Sends chunks without an end where a script is ``endless``.
+
+    Attributes:
+        num_taken_b: bytes taken from it, by attempt.
+    """
+
+    chunk: bytes = b"x" * CHUNK_B
+    pause_s: float = CHUNK_S
+    num_taken_b: list[int] = field(default_factory=list)
+
+    async def _body(self, script: Script) -> AsyncIterator[bytes]:
+        if script.kind != "endless":
+            async for part in super()._body(script):
+                yield part
+            return
+        self.num_taken_b.append(0)
+        attempt = len(self.num_taken_b) - 1
+        while True:
+            await anyio.sleep(self.pause_s)
+            self.num_taken_b[attempt] += len(self.chunk)
+            yield self.chunk
+
+
+ALL_KINDS = [RouteKind.IDEMPOTENT, RouteKind.NON_IDEMPOTENT, RouteKind.STREAMING]
+NO_LIMIT_B = MAX_ANSWER_B + 2 * CHUNK_B
+
+
+@pytest.mark.parametrize(
+    "kind, status",
+    [(RouteKind.IDEMPOTENT, 200), (RouteKind.NON_IDEMPOTENT, 200), *((kind, 500) for kind in ALL_KINDS)],
+)
+def test_a_body_without_an_end_is_not_held_past_the_limit(kind: RouteKind, status: int) -> None:
+    # A few such answers at once took a node from 40 to 311 MB within two seconds.
+    port = EndlessPort([Script("endless", status=status), Script("endless", status=status)])
+    outcome, seconds, streamed = forward_one(port, route(kind))
+    assert max(port.num_taken_b) <= NO_LIMIT_B
+    assert seconds < 0.8
+    if isinstance(outcome, StreamAnswer):
+        assert streamed == b"(cut)"
+    else:
+        assert isinstance(outcome, MayHaveRun) and not outcome.is_late
+    assert len(port.sent) == (2 if kind is RouteKind.IDEMPOTENT else 1)
+
+
+@pytest.mark.parametrize("kind", ALL_KINDS)
+def test_a_body_that_trickles_without_an_end_ends_at_the_timeout_of_its_route(kind: RouteKind) -> None:
+    # Each byte is progress, so only a limit of the whole time ends such an answer.
+    port = EndlessPort([Script("endless")] * 2, chunk=b"x", pause_s=0.1)
+    outcome, seconds, streamed = forward_one(port, route(kind))
+    assert seconds == pytest.approx(0.8)
+    assert streamed == b"(overdue)" or (isinstance(outcome, MayHaveRun) and outcome.is_late)
+
+
+def test_an_answer_follows_from_another_worker_after_a_body_without_an_end() -> None:
+    port = EndlessPort([Script("endless"), Script("answer", events=("whole",))])
+    outcome, _, _ = forward_one(port, route(RouteKind.IDEMPOTENT))
+    assert isinstance(outcome, WholeAnswer) and outcome.body == b"whole"
+
+
+def test_an_answer_as_large_as_the_limit_is_whole() -> None:
+    part = "x" * (MAX_ANSWER_B // 4)
+    port = ScriptedPort([Script("answer", events=(part,) * 4)])
+    outcome, _, _ = forward_one(port, route(RouteKind.NON_IDEMPOTENT))
+    assert isinstance(outcome, WholeAnswer) and len(outcome.body) == MAX_ANSWER_B
+
+
+@dataclass
+class RecordingLogger:
+    lines: list[dict[str, object]] = field(default_factory=list)
+
+    def warning(self, event: str, **fields: object) -> None:
+        self.lines.append({"event": event, **fields})
+
+
+def test_a_dropped_answer_is_logged_with_its_worker_and_its_request(monkeypatch: pytest.MonkeyPatch) -> None:
+    recorded, limits = RecordingLogger(), list[HeldLimit]()
+    monkeypatch.setattr(held_bytes, "logger", recorded)
+    port = EndlessPort([Script("endless")])
+    forward_many(port, 1, HeldBytes(on_dropped=limits.append))
+    (line,) = recorded.lines
+    assert line["event"] == "answer_dropped"
+    assert (line["worker"], line["request_id"], line["limit"]) == ("w0", "id-0", "answer")
+    assert limits == [HeldLimit.ANSWER]
+
+
+def forward_many(
+    port: ScriptedPort, num_requests: int, held: HeldBytes, kind: RouteKind = RouteKind.NON_IDEMPOTENT
+) -> tuple[dict[str, ForwardOutcome], int]:
+    """Forward requests at once; return their outcomes by id, and the most bytes held at a time."""
+    configure_logs("error")
+    directory = WorkerDirectory()
+    directory.put(WorkerEntry("w0", "s", "w0:1", "z", 2 * num_requests))
+    outcomes: dict[str, ForwardOutcome] = {}
+    most_b = 0
+
+    async def main() -> None:
+        nonlocal most_b
+        forwarder = Forwarder(directory, port, random.Random(1), held=held)
+
+        async def forward(number: int) -> None:
+            now = anyio.current_time()
+            request = LiveRequest(f"id-{number}", "POST", b"/x", (), b"", now, now + DEADLINE_SECONDS)
+            async with AsyncExitStack() as stack:
+                outcome = await forwarder.forward(request, route(kind), stack)
+                outcomes[request.request_id] = outcome
+                if isinstance(outcome, StreamAnswer):
+                    with anyio.move_on_after(outcome.ends_at - now):
+                        try:
+                            async for _ in outcome.events:
+                                pass
+                        except WorkerAnswerBrokenError:
+                            pass
+
+        async def watch() -> None:
+            nonlocal most_b
+            while True:
+                most_b = max(most_b, held.total_b)
+                await anyio.sleep(CHUNK_S)
+
+        async with anyio.create_task_group() as watching:
+            watching.start_soon(watch)
+            async with anyio.create_task_group() as group:
+                for number in range(num_requests):
+                    group.start_soon(forward, number)
+            watching.cancel_scope.cancel()
+
+    run_simulated(main, 1)
+    assert held.total_b == 0
+    return outcomes, most_b
+
+
+@pytest.mark.parametrize("kind", [RouteKind.NON_IDEMPOTENT])
+def test_many_bodies_without_an_end_are_held_within_one_limit(kind: RouteKind) -> None:
+    port = EndlessPort([Script("endless")] * 20)
+    _, most_b = forward_many(port, 20, HeldBytes(), kind)
+    assert MAX_ANSWER_B < most_b <= MAX_HELD_B
+
+
+def test_whole_answers_come_through_beside_bodies_without_an_end() -> None:
+    # The largest answer is dropped, not the one that arrives when the limit is reached.
+    port = EndlessPort([Script("endless")] * 20 + [Script("answer", 0.015, ("whole",))] * 20)
+    outcomes, most_b = forward_many(port, 40, HeldBytes(max_total_b=1024 * 1024))
+    whole = [outcome for outcome in outcomes.values() if isinstance(outcome, WholeAnswer)]
+    assert [answer.body for answer in whole] == [b"whole"] * 20
+    assert most_b <= 1024 * 1024
+
+
+def test_an_answer_that_was_dropped_never_looks_whole() -> None:
+    held = HeldBytes(max_answer_b=10, max_total_b=15)
+    freed: list[str] = []
+    with (
+        held.hold(AnswerSource("w0", "a"), lambda: freed.append("a")) as first,
+        held.hold(AnswerSource("w0", "b"), lambda: freed.append("b")) as second,
+    ):
+        first.resize(9)
+        second.resize(8)
+        assert freed == ["a"] and held.total_b == 8
+        with pytest.raises(AnswerTooLargeError):
+            first.check()
+        second.check()
+        with pytest.raises(AnswerTooLargeError):
+            second.resize(11)
+    assert held.total_b == 0
