Events of streams: bytes bounded as those of bodies, and searched once

Callers saw: an event without an end was gathered until the deadline, and the node answered nobody meanwhile: at each chunk all bytes held were copied and searched again for the end of the event.

Cause: EventSplitter had no bound, and its time grew with the square of the bytes held. Many short events in one chunk cost as much: the rest was copied, and searched for the other form of an end, for each of them.

Fix: the partial event of a live stream counts in HeldBytes under the limits of an answer; over it the stream is broken and goes on at another worker where that is allowed.

--- a/src/worksramp/routing/events.py
+++ b/src/worksramp/routing/events.py
@@ -1,7 +1,11 @@
 """Splits the bytes of a ``text/event-stream`` into complete events as they arrive."""
 
+import re
 from dataclasses import dataclass
 
+EVENT_END = re.compile(rb"\r\n\r\n|\n\n")
+LONGEST_END_B = 4
+
 
 @dataclass(frozen=True, slots=True)
 class StreamEvent:
@@ -51,10 +55,19 @@
 
 
 class EventSplitter:
-    """Buffers received bytes and returns complete events."""
+    """Buffers received bytes and returns complete events.
+
+    Its time is in proportion to the bytes received, however they arrive.
+    """
 
     def __init__(self) -> None:
-        self._buffer = b""
+        self._buffer = bytearray()
+        self._num_searched_b = 0
+
+    @property
+    def size_b(self) -> int:
+        """Number of bytes held, which belong to no complete event."""
+        return len(self._buffer)
 
     @property
     def has_partial_event(self) -> bool:
@@ -64,7 +77,12 @@
     @property
     def rest(self) -> bytes:
         """Received bytes that belong to no complete event."""
-        return self._buffer
+        return bytes(self._buffer)
+
+    def clear(self) -> None:
+        """Discard the bytes held."""
+        self._buffer.clear()
+        self._num_searched_b = 0
 
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Add received bytes and return the events that are complete now.
@@ -73,18 +91,13 @@
         """
         self._buffer += data
         events: list[StreamEvent] = []
-        while True:
-            end, length = self._find_end()
-            if end < 0:
-                return events
-            block = self._buffer[: end + length]
-            self._buffer = self._buffer[end + length :]
-            events.append(_parse(block))
-
-    def _find_end(self) -> tuple[int, int]:
-        """Return the index where the first event ends, -1 if none does, and the length of its empty line."""
-        lf_end = self._buffer.find(b"\n\n")
-        crlf_end = self._buffer.find(b"\r\n\r\n")
-        if crlf_end >= 0 and (lf_end < 0 or crlf_end < lf_end):
-            return crlf_end, 4
-        return lf_end, 2
+        start = 0
+        # An end may have begun in the bytes that were searched before.
+        search_from = max(0, self._num_searched_b - (LONGEST_END_B - 1))
+        while (match := EVENT_END.search(self._buffer, search_from)) is not None:
+            search_from = match.end()
+            events.append(_parse(bytes(self._buffer[start:search_from])))
+            start = search_from
+        del self._buffer[:start]
+        self._num_searched_b = len(self._buffer)
+        return events
--- a/src/worksramp/routing/live_stream.py
+++ b/src/worksramp/routing/live_stream.py
@@ -16,7 +16,7 @@
     to_worker_request,
 )
 from worksramp.routing.events import EventSplitter
-from worksramp.routing.held_bytes import HeldBytes
+from worksramp.routing.held_bytes import AnswerSource, HeldBytes
 from worksramp.routing.quarantine import Quarantine
 from worksramp.routing.table import Route
 from worksramp.routing.worker_port import (
@@ -137,14 +137,18 @@
         is_id_known = True
         while True:
             splitter = EventSplitter()
+            holding = self._attempt_stack.enter_context(self._held.hold(self._source(answer), splitter.clear))
             reason = "ended inside an event"
             try:
                 async for chunk in answer.body:
+                    holding.check()
                     for event in splitter.feed(chunk):
                         if not event.is_empty:
                             is_id_known = event.event_id is not None
                         last_id = event.event_id or last_id
                         yield event.block
+                    holding.resize(splitter.size_b)
+                holding.check()
                 if not splitter.has_partial_event:
                     if splitter.rest:
                         yield splitter.rest
@@ -180,6 +184,10 @@
             await self._attempt_stack.aclose()
         raise WorkerAnswerBrokenError(f"not resumed: {reason}")
 
+    def _source(self, answer: WorkerAnswer) -> AnswerSource:
+        worker_id = "" if self._worker is None else self._worker.entry.worker_id
+        return AnswerSource(worker_id, self._request.request_id, answer.connection)
+
     def _record_answered(self) -> None:
         if self._attempt is not None:
             self._attempt.is_answered = True
--- a/tests/unit/test_bytes_without_end.py
+++ b/tests/unit/test_bytes_without_end.py
@@ -1,17 +1,22 @@
 """Workers that send without an end: what a node holds of them, and how long it listens."""
 
+import itertools
 import random
+import re
 from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack
 from dataclasses import dataclass, field
 
 import anyio
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from tests.unit.test_forward import DEADLINE_SECONDS, Script, ScriptedPort, forward_one, route
 from worksramp.logs import configure_logs
-from worksramp.routing import held_bytes
+from worksramp.routing import events, held_bytes
 from worksramp.routing.attempts import LiveRequest, WholeAnswer
+from worksramp.routing.events import EventSplitter
 from worksramp.routing.forward import Forwarder, ForwardOutcome, MayHaveRun
 from worksramp.routing.held_bytes import (
     MAX_ANSWER_B,
@@ -48,6 +53,8 @@
             async for part in super()._body(script):
                 yield part
             return
+        for event in script.events:
+            yield event.encode()
         self.num_taken_b.append(0)
         attempt = len(self.num_taken_b) - 1
         while True:
@@ -60,10 +67,8 @@
 NO_LIMIT_B = MAX_ANSWER_B + 2 * CHUNK_B
 
 
-@pytest.mark.parametrize(
-    "kind, status",
-    [(RouteKind.IDEMPOTENT, 200), (RouteKind.NON_IDEMPOTENT, 200), *((kind, 500) for kind in ALL_KINDS)],
-)
+@pytest.mark.parametrize("kind", ALL_KINDS)
+@pytest.mark.parametrize("status", [200, 500])
 def test_a_body_without_an_end_is_not_held_past_the_limit(kind: RouteKind, status: int) -> None:
     # A few such answers at once took a node from 40 to 311 MB within two seconds.
     port = EndlessPort([Script("endless", status=status), Script("endless", status=status)])
@@ -164,7 +169,7 @@
     return outcomes, most_b
 
 
-@pytest.mark.parametrize("kind", [RouteKind.NON_IDEMPOTENT])
+@pytest.mark.parametrize("kind", [RouteKind.NON_IDEMPOTENT, RouteKind.STREAMING])
 def test_many_bodies_without_an_end_are_held_within_one_limit(kind: RouteKind) -> None:
     port = EndlessPort([Script("endless")] * 20)
     _, most_b = forward_many(port, 20, HeldBytes(), kind)
@@ -196,3 +201,58 @@
         with pytest.raises(AnswerTooLargeError):
             second.resize(11)
     assert held.total_b == 0
+
+
+def test_a_resumable_stream_goes_on_elsewhere_after_an_event_without_an_end() -> None:
+    # The events before it were passed on; the partial one is not.
+    first, second = "id: 1\ndata: d1\n\n", "id: 2\ndata: d2\n\n"
+    port = EndlessPort([Script("endless", events=(first,)), Script("answer", events=(second,))])
+    _, _, streamed = forward_one(port, route(RouteKind.STREAMING, is_resumable=True))
+    assert streamed.decode() == first + second
+    assert [request.resume_after for _, request in port.sent] == [None, "1"]
+    assert max(port.num_taken_b) <= NO_LIMIT_B
+
+
+def test_a_stream_of_whole_events_is_passed_on_beyond_the_limit_of_an_answer() -> None:
+    # The limit is that of an event; a stream as a whole has none but its time.
+    port = EndlessPort([Script("endless")], chunk=b"data: " + b"x" * 500 + b"\n\n")
+    limits: list[HeldLimit] = []
+    forward_many(port, 1, HeldBytes(1000, 1000, limits.append), RouteKind.STREAMING)
+    assert port.num_taken_b[0] > 100_000 and not limits
+
+
+@given(
+    data=st.lists(st.sampled_from([b"\n", b"\r\n", b"\r", b"id: 1", b"data: x"]), max_size=30), cut=st.data()
+)
+def test_events_do_not_depend_on_how_their_bytes_arrive(data: list[bytes], cut: st.DataObject) -> None:
+    # An end that is searched for only in new bytes may lie across two chunks.
+    whole = b"".join(data)
+    expected = EventSplitter()
+    blocks = [event.block for event in expected.feed(whole)]
+    cuts = sorted(cut.draw(st.sets(st.integers(0, len(whole)))) | {0, len(whole)})
+    splitter = EventSplitter()
+    parts = [whole[start:end] for start, end in itertools.pairwise(cuts)]
+    assert [event.block for part in parts for event in splitter.feed(part)] == blocks
+    assert splitter.rest == expected.rest and splitter.size_b == len(splitter.rest)
+
+
+class CountingPattern:
+    """Pattern that counts the bytes it is given to search."""
+
+    def __init__(self, pattern: re.Pattern[bytes]) -> None:
+        self.pattern = pattern
+        self.num_searched_b = 0
+
+    def search(self, data: bytearray, start: int) -> re.Match[bytes] | None:
+        self.num_searched_b += len(data) - start
+        return self.pattern.search(data, start)
+
+
+def test_bytes_of_an_event_are_searched_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    # All held bytes were searched and copied at each chunk: seconds of one core for an event of a few MB.
+    counting = CountingPattern(events.EVENT_END)
+    monkeypatch.setattr(events, "EVENT_END", counting)
+    splitter = EventSplitter()
+    for _ in range(50_000):
+        assert splitter.feed(b"data") == []
+    assert counting.num_searched_b < 8 * splitter.size_b
