Texts of items: a limit of bytes, events and versions; a text over it is discarded

Callers would have seen: an item at a worker that sends events, or one event, without an end held its owner's memory for as long as bytes came, and each later run went on from the last of those events; the owner's process ends at its memory limit, and all runs of the shard with it.

Cause: a run kept all events and all bytes of a partial one; only silence ended it. Nothing tells such a text from a true one while it comes, but the page of results, which holds 1 MB at most.

Fix: a text has 1 MB, 131,072 events and 1,024 versions at most; partial events and the memory of small ones count in HeldBytes, under the limit of the node. A run over a limit ends as RunOverLimit: the text and its checkpoint are discarded, since a run that goes on from it exceeds the limit as well, and the item begins again at another worker. An event's id over 256 bytes is not usable: it is sent back in a header, which workers refuse when it is large.

tests/unit/test_forward.py: ScriptedPort may state a weight version, which runs of items need; nothing else changed.

--- a/src/worksramp/edge/node.py
+++ b/src/worksramp/edge/node.py
@@ -189,6 +189,7 @@
                 status_seconds=bounds.status,
                 cancel_s=bounds.cancel,
                 metrics=self.metrics,
+                held=self.held,
                 duties=self._duties(),
                 num_cores=settings.machine.num_cores,
                 may_own=lambda: self.is_ready,
--- a/src/worksramp/edge/shard.py
+++ b/src/worksramp/edge/shard.py
@@ -41,6 +41,7 @@
 from worksramp.rollout.batch_values import BatchValues
 from worksramp.rollout.batches import BatchLedger
 from worksramp.rollout.owner_context import OwnerContext, TableSource
+from worksramp.routing.held_bytes import HeldBytes
 from worksramp.routing.quarantine import Quarantine
 from worksramp.routing.worker_port import WorkerPort
 from worksramp.routing.workers import WorkerDirectory
@@ -82,6 +83,7 @@
         quarantine: applies the crash records, which are in the same partition.
         metrics: metrics of this node.
         duties: duties towards the platform, None for none.
+        held: counts the bytes of workers' answers that the node holds.
         time_of_day: returns the time in seconds that batches are stamped with.
         clock: measures the ages of the lease and the replica.
     """
@@ -106,6 +108,7 @@
     may_own: Callable[[], bool]
     quarantine: Quarantine
     metrics: NodeMetrics
+    held: HeldBytes
     duties: Duties | None = None
     time_of_day: Callable[[], float] = time.time
     clock: ElapsedClock = monotonic_s
@@ -325,6 +328,7 @@
                 lambda outcome: context.metrics.scoring_calls.labels(outcome).inc(),
                 context.metrics.item_seconds.observe,
                 lambda reason: context.metrics.item_moves.labels(reason).inc(),
+                context.held,
             )
         )
         mover = VersionMover(self._mover_context(owner, writer, epoch))
--- a/src/worksramp/rollout/batch_run.py
+++ b/src/worksramp/rollout/batch_run.py
@@ -9,6 +9,7 @@
 from worksramp.rollout.batches import BatchItem, GeneratedText, Score
 from worksramp.routing.events import EventSplitter, StreamEvent
 from worksramp.routing.fingerprint import fingerprint_of
+from worksramp.routing.held_bytes import AnswerSource, AnswerTooLargeError, HeldBytes, HeldLimit, Holding
 from worksramp.routing.worker_port import (
     WorkerAnswer,
     WorkerAnswerBrokenError,
@@ -22,13 +23,23 @@
 STATUS_OK = 200
 STATUS_NEVER_POSSIBLE = 422
 STATUS_FAILED = 500
+#: Largest text; a page of results holds no more.
+MAX_TEXT_B = 1024 * 1024
+#: Most events of a text. Each holds a token at least, and a run no more than its worker's memory.
+MAX_TEXT_EVENTS = 131_072
+MAX_TEXT_VERSIONS = 1024
+#: Memory that an event takes beside its data.
+EVENT_OVERHEAD_B = 64
 
 
 @dataclass(slots=True)
 class TextBuilder:
     """Text of an item that is still being generated; complete events are added in order.
 
-    See `GeneratedText` for the attributes.
+    See `GeneratedText` for the other attributes.
+
+    Attributes:
+        size_b: size of the data of all events, joined by line feeds.
     """
 
     pieces: list[str] = field(default_factory=list)
@@ -38,6 +49,7 @@
     is_whole: bool = False
     score: Score | None = None
     num_scoring_failures: int = 0
+    size_b: int = 0
 
     @classmethod
     def from_text(cls, text: GeneratedText) -> "TextBuilder":
@@ -50,6 +62,7 @@
             text.is_whole,
             text.score,
             text.num_scoring_failures,
+            sum(_size_b(piece) for piece in text.pieces),
         )
 
     def freeze(self, batch_id: str) -> GeneratedText:
@@ -73,16 +86,22 @@
         """Discard the text and its score, but keep the failure counts."""
         self.pieces, self.last_event_id, self.versions, self.is_whole = [], None, [], False
         self.score = None
+        self.size_b = 0
 
     def add(self, event: StreamEvent, version: int) -> None:
         """Add a complete event that weight version ``version`` generated."""
         self.pieces.append(event.data)
+        self.size_b += _size_b(event.data)
         self.score = None
         self.last_event_id = event.event_id
         if version not in self.versions:
             self.versions.append(version)
 
 
+def _size_b(piece: str) -> int:
+    return len(piece.encode()) + 1
+
+
 @dataclass(frozen=True, slots=True)
 class RunFinished:
     """The text is complete."""
@@ -112,6 +131,16 @@
     is_connection_lost: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class RunOverLimit:
+    """The run was ended since its text exceeded a limit; the text was discarded.
+
+    A later run that went on from that text would exceed the limit as well.
+    """
+
+    reason: str
+
+
 @dataclass(frozen=True, slots=True)
 class RunError:
     """An error of this process ended the run; its complete events were kept."""
@@ -138,7 +167,16 @@
     version: int
 
 
-RunOutcome = RunFinished | RunNotBegun | RunBroken | RunError | RunFailed | RunNeverPossible | RunWrongVersion
+RunOutcome = (
+    RunFinished
+    | RunNotBegun
+    | RunBroken
+    | RunOverLimit
+    | RunError
+    | RunFailed
+    | RunNeverPossible
+    | RunWrongVersion
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -194,6 +232,7 @@
     spec: RunSpec,
     text: TextBuilder,
     on_event: Callable[[], None],
+    held: HeldBytes | None = None,
 ) -> RunOutcome:
     """Run an item at a worker and add the events that arrive to ``text``.
 
@@ -201,12 +240,20 @@
 
     Args:
         on_event: called after each event that was added.
+        held: counts the bytes of all answers that the node holds; None counts those of this run alone.
     """
+    held = held or HeldBytes()
     try:
         async with port.send(worker, request_for(spec, text)) as answer:
             if answer.status != STATUS_OK or answer.is_not_run:
                 return _outcome_of_refusal(answer)
-            return await _read_text(port, answer, spec, text, on_event)
+            source = AnswerSource(worker.worker_id, spec.item.item_id, answer.connection)
+            reader = _TextReader(port, spec, text, on_event)
+            # A text has a limit of its own.
+            with held.hold(source, reader.discard, held.max_total_b) as holding:
+                return await reader.read(answer, holding)
+    except AnswerTooLargeError as error:
+        return RunOverLimit(str(error))
     except WorkerUnreachableError as error:
         return RunNotBegun(f"unreachable: {error}")
     except WorkerAnswerBrokenError as error:
@@ -225,32 +272,65 @@
     return RunBroken(f"status_{answer.status}")
 
 
-async def _read_text(
-    port: WorkerPort,
-    answer: WorkerAnswer,
-    spec: RunSpec,
-    text: TextBuilder,
-    on_event: Callable[[], None],
-) -> RunOutcome:
-    version = answer.weight_version
-    if version is None or not answer.is_signed:
-        return RunBroken("unsigned answer or missing weight version")
-    splitter = EventSplitter()
-    async for chunk in answer.body:
-        for event in splitter.feed(chunk):
-            if event.is_empty:
-                continue
-            if event.event_id is None:
-                # A text is UTF-8, and goes on from the id of its last event.
-                return RunBroken("event without a usable id" if event.is_text else "event is not UTF-8")
-            reported = parse_count(event.fields.get(port.version_field, ""))
-            version = version if reported is None else reported
-            if not may_add(text, version, spec):
-                return RunWrongVersion(version)
-            text.add(event, version)
-            on_event()
-        await anyio.lowlevel.checkpoint_if_cancelled()
-    if splitter.has_partial_event:
-        return RunBroken("ended inside an event", is_connection_lost=True)
-    text.is_whole = True
-    return RunFinished()
+@dataclass(slots=True)
+class _TextReader:
+    """Adds the events of one answer to a text."""
+
+    port: WorkerPort
+    spec: RunSpec
+    text: TextBuilder
+    on_event: Callable[[], None]
+    splitter: EventSplitter = field(default_factory=EventSplitter)
+
+    def discard(self) -> None:
+        """Discard the text and the bytes of an incomplete event."""
+        self.text.clear()
+        self.splitter.clear()
+
+    async def read(self, answer: WorkerAnswer, holding: Holding) -> RunOutcome:
+        """Read an answer to its end.
+
+        Raises:
+            AnswerTooLargeError: the text exceeded a limit, and was discarded.
+            WorkerAnswerBrokenError: the answer ended early.
+        """
+        version = answer.weight_version
+        if version is None or not answer.is_signed:
+            return RunBroken("unsigned answer or missing weight version")
+        async for chunk in answer.body:
+            holding.check()
+            for event in self.splitter.feed(chunk):
+                if event.is_empty:
+                    continue
+                if event.event_id is None:
+                    # A text is UTF-8, and goes on from the id of its last event.
+                    return RunBroken("event without a usable id" if event.is_text else "event is not UTF-8")
+                reported = parse_count(event.fields.get(self.port.version_field, ""))
+                version = version if reported is None else reported
+                if not may_add(self.text, version, self.spec):
+                    return RunWrongVersion(version)
+                self.text.add(event, version)
+                self.on_event()
+            self._count(holding)
+            await anyio.lowlevel.checkpoint_if_cancelled()
+        holding.check()
+        if self.splitter.has_partial_event:
+            return RunBroken("ended inside an event", is_connection_lost=True)
+        self.text.is_whole = True
+        return RunFinished()
+
+    def _count(self, holding: Holding) -> None:
+        """Count the bytes held.
+
+        Raises:
+            AnswerTooLargeError: a limit is exceeded.
+        """
+        text = self.text
+        size_b = text.size_b + self.splitter.size_b
+        holding.resize(size_b + EVENT_OVERHEAD_B * len(text.pieces))
+        if (
+            size_b > MAX_TEXT_B
+            or len(text.pieces) > MAX_TEXT_EVENTS
+            or len(text.versions) > MAX_TEXT_VERSIONS
+        ):
+            holding.drop(HeldLimit.TEXT)
--- a/src/worksramp/rollout/item_runner.py
+++ b/src/worksramp/rollout/item_runner.py
@@ -15,6 +15,7 @@
     RunNeverPossible,
     RunNotBegun,
     RunOutcome,
+    RunOverLimit,
     RunSpec,
     RunWrongVersion,
     fingerprint_of_run,
@@ -149,7 +150,9 @@
         running = quarantine.running(fingerprint_of_run(spec))
         state.begin_item(running)
         try:
-            outcome = await run_item(self._context.port, state.entry, spec, work.text, record_event)
+            outcome = await run_item(
+                self._context.port, state.entry, spec, work.text, record_event, self._context.held
+            )
             if isinstance(outcome, RunBroken) and outcome.is_connection_lost:
                 await quarantine.handle_broken_connection(state)
                 work.wait_until = anyio.current_time() + quarantine.pause_s(running.fingerprint)
@@ -165,7 +168,10 @@
 
     def _handle_outcome(self, work: ItemWork, run: Run, outcome: RunOutcome, num_new: int) -> None:
         now = anyio.current_time()
-        if isinstance(outcome, RunFinished | RunFailed | RunBroken | RunError) and not run.is_moving:
+        if (
+            isinstance(outcome, RunFinished | RunFailed | RunBroken | RunOverLimit | RunError)
+            and not run.is_moving
+        ):
             self._failures.observe(run.worker_id, not isinstance(outcome, RunFinished), now)
         if not isinstance(outcome, RunFinished):
             self._log_ended(work, run, outcome, num_new)
@@ -224,6 +230,12 @@
         if not run.is_moving:
             work.avoid(run.worker_id, now + AVOID_AFTER_BREAK_SECONDS)
 
+    @_outcome_handlers.handler(RunOverLimit)
+    def _handle_over_limit(self, outcome: RunOverLimit, work: ItemWork, run: Run, now: float) -> None:
+        # The text was discarded, so the next owner must not go on from its checkpoint.
+        work.num_checkpointed = -1
+        work.avoid(run.worker_id, now + AVOID_AFTER_BREAK_SECONDS)
+
     def _log_ended(self, work: ItemWork, run: Run, outcome: RunOutcome, num_new: int) -> None:
         log = logger.debug if isinstance(outcome, RunNotBegun) else logger.info
         log(
--- a/src/worksramp/rollout/owner_context.py
+++ b/src/worksramp/rollout/owner_context.py
@@ -2,12 +2,13 @@
 
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from worksramp.coordination.fenced_writer import FencedWriter
 from worksramp.coordination.value_store import ValueStore
 from worksramp.rollout.batch_values import BatchValues
 from worksramp.rollout.batches import BatchLedger
+from worksramp.routing.held_bytes import HeldBytes
 from worksramp.routing.quarantine import Quarantine
 from worksramp.routing.table import RouteTable
 from worksramp.routing.worker_port import WorkerPort
@@ -51,6 +52,7 @@
         on_scoring_ended: called with the class name of each scoring call's outcome.
         on_moved: called with the reason of each move of an item to another worker.
         on_listed: called at each listing with the age of the batch in seconds.
+        held: counts the bytes of workers' answers that the node holds.
     """
 
     ledger: BatchLedger
@@ -70,3 +72,4 @@
     on_scoring_ended: Callable[[str], None] = _ignore
     on_listed: Callable[[float], None] = _ignore
     on_moved: Callable[[str], None] = _ignore
+    held: HeldBytes = field(default_factory=HeldBytes)
--- a/src/worksramp/routing/events.py
+++ b/src/worksramp/routing/events.py
@@ -5,6 +5,7 @@
 
 EVENT_END = re.compile(rb"\r\n\r\n|\n\n")
 LONGEST_END_B = 4
+MAX_EVENT_ID_B = 256
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,8 +46,7 @@
         name, _, value = line.partition(":")
         value = value.removeprefix(" ")
         if name == "id":
-            # The id is sent back in a header, which takes no other characters.
-            event_id = value if value.isascii() and value.isprintable() else None
+            event_id = value if _is_usable_id(value) else None
         elif name == "data":
             data.append(value)
         else:
@@ -54,6 +54,11 @@
     return StreamEvent(block, event_id, "\n".join(data), fields)
 
 
+def _is_usable_id(value: str) -> bool:
+    """Return whether an id can be sent back in a header."""
+    return len(value) <= MAX_EVENT_ID_B and value.isascii() and value.isprintable()
+
+
 class EventSplitter:
     """Buffers received bytes and returns complete events.
 
--- a/src/worksramp/routing/held_bytes.py
+++ b/src/worksramp/routing/held_bytes.py
@@ -26,6 +26,7 @@
     """Limit that an answer has exceeded."""
 
     ANSWER = "answer"
+    TEXT = "text"
     NODE = "node"
 
 
@@ -83,6 +84,15 @@
         self.owner.resize(self, size_b)
         self.check()
 
+    def drop(self, limit: HeldLimit) -> None:
+        """Drop the answer.
+
+        Raises:
+            AnswerTooLargeError: always.
+        """
+        self.owner.drop(self, limit)
+        self.check()
+
 
 @dataclass(slots=True)
 class HeldBytes:
@@ -140,11 +150,12 @@
         self.total_b += size_b - holding.size_b
         holding.size_b = size_b
         if size_b > holding.max_b:
-            self._drop(holding, HeldLimit.ANSWER)
+            self.drop(holding, HeldLimit.ANSWER)
         while self.total_b > self.max_total_b:
-            self._drop(max(self._holdings, key=lambda other: other.size_b), HeldLimit.NODE)
+            self.drop(max(self._holdings, key=lambda other: other.size_b), HeldLimit.NODE)
 
-    def _drop(self, holding: Holding, limit: HeldLimit) -> None:
+    def drop(self, holding: Holding, limit: HeldLimit) -> None:
+        """Free the bytes of an answer, for a limit that was exceeded."""
         size_b, holding.size_b = holding.size_b, 0
         self.total_b -= size_b
         holding.exceeded = limit
--- a/tests/unit/test_bytes_without_end.py
+++ b/tests/unit/test_bytes_without_end.py
@@ -14,9 +14,11 @@
 
 from tests.unit.test_forward import DEADLINE_SECONDS, Script, ScriptedPort, forward_one, route
 from worksramp.logs import configure_logs
+from worksramp.rollout.batch_run import MAX_TEXT_B, RunOutcome, RunOverLimit, RunSpec, TextBuilder, run_item
+from worksramp.rollout.batches import BatchItem
 from worksramp.routing import events, held_bytes
 from worksramp.routing.attempts import LiveRequest, WholeAnswer
-from worksramp.routing.events import EventSplitter
+from worksramp.routing.events import MAX_EVENT_ID_B, EventSplitter
 from worksramp.routing.forward import Forwarder, ForwardOutcome, MayHaveRun
 from worksramp.routing.held_bytes import (
     MAX_ANSWER_B,
@@ -256,3 +258,62 @@
     for _ in range(50_000):
         assert splitter.feed(b"data") == []
     assert counting.num_searched_b < 8 * splitter.size_b
+
+
+WORKER = WorkerEntry("w0", "s", "w0:1", "z", 4)
+SPEC = RunSpec(
+    BatchItem("item-1", "/x", (), b"p", num_tokens=10), "h", min_version=0, needs_one_version=False
+)
+ENDLESS_TEXTS = {
+    "partial event": b"x" * CHUNK_B,
+    "large events": b"id: 1\ndata: " + b"x" * CHUNK_B + b"\n\n",
+    "small events": b"id: 1\ndata: x\n\n" * 5000,
+    "events without data": b"id: 1\n\n" * 5000,
+    "versions": b"".join(b"version: %d\nid: 1\n\n" % number for number in range(5000)),
+}
+
+
+@pytest.mark.parametrize("kind", list(ENDLESS_TEXTS))
+def test_a_text_without_an_end_is_dropped_and_its_item_begins_again(kind: str) -> None:
+    # Its events were kept for as long as they came, and each later run went on from the last of them.
+    port = EndlessPort([Script("endless")], weight_version=1, chunk=ENDLESS_TEXTS[kind])
+    text, held, most_b = TextBuilder(), HeldBytes(), 0
+
+    async def main() -> RunOutcome:
+        def watch() -> None:
+            nonlocal most_b
+            most_b = max(most_b, text.size_b)
+
+        with anyio.fail_after(1.0):
+            return await run_item(port, WORKER, SPEC, text, watch, held)
+
+    outcome = run_simulated(main, 1)
+    assert isinstance(outcome, RunOverLimit)
+    assert (text.pieces, text.last_event_id, text.versions, text.size_b) == ([], None, [], 0)
+    assert most_b <= MAX_TEXT_B + len(port.chunk) and held.total_b == 0
+
+
+def test_texts_without_an_end_are_held_within_the_limit_of_the_node() -> None:
+    port = EndlessPort([Script("endless")] * 20, weight_version=1, chunk=ENDLESS_TEXTS["large events"])
+    texts = [TextBuilder() for _ in range(20)]
+    held, most_b = HeldBytes(max_total_b=4 * MAX_TEXT_B), 0
+
+    async def main() -> None:
+        def watch() -> None:
+            nonlocal most_b
+            most_b = max(most_b, sum(text.size_b for text in texts))
+
+        async with anyio.create_task_group() as group:
+            for text in texts:
+                group.start_soon(run_item, port, WORKER, SPEC, text, watch, held)
+
+    run_simulated(main, 1)
+    assert most_b <= held.max_total_b + 20 * len(port.chunk)
+    assert not any(text.pieces for text in texts)
+
+
+def test_an_id_that_no_header_holds_is_not_usable() -> None:
+    # The id of the last event is sent in a header when a stream goes on; workers refuse large ones.
+    splitter = EventSplitter()
+    usable, unusable = splitter.feed(b"id: %s\n\nid: %s\n\n" % (b"i" * MAX_EVENT_ID_B, b"i" * 5000))
+    assert usable.event_id == "i" * MAX_EVENT_ID_B and unusable.event_id is None
--- a/tests/unit/test_forward.py
+++ b/tests/unit/test_forward.py
@@ -49,6 +49,7 @@
     sent: list[tuple[str, WorkerRequest]] = field(default_factory=list)
     num_open: int = 0
     listener: ListenerState = ListenerState.ACCEPTS
+    weight_version: int | None = None
     version_field = "version"
 
     @asynccontextmanager
@@ -70,7 +71,7 @@
                 is_leaving=False,
                 signature="stamp",
                 load=None,
-                weight_version=None,
+                weight_version=self.weight_version,
                 body=self._body(script),
             )
         finally:
