Scoring calls end by their deadline, and read no more than an answer may have

Callers would have seen: a step that waits for the score of an item whose scorer trickles or floods. Only the owner's watch ended such a call, and it passes over items whose route is gone: there the call had no end, and kept the item's place among its calls. Read in the code and shown at the port, not seen in a run of nodes.

Cause: the deadline was sent to the worker and not kept here; the body was read and thrown away without a count.

Evidence: test_a_scoring_call_ends_whatever_its_scorer_sends, on the code before: TimeoutError of the test after twice the deadline, for one byte each 0.1 s and for 64 KB each millisecond. Simulated time.

Fix: the call ends at its deadline (lost, may have run), head and body together; a body over the limit of an answer ends it earlier, logged and counted as other answers.

The two mutations of the simulation that stand in for call_scorer take its further arguments as they come; what they do and which checks must catch them is unchanged.

--- a/src/worksramp/rollout/item_scorer.py
+++ b/src/worksramp/rollout/item_scorer.py
@@ -193,7 +193,12 @@
         try:
             with call.scope:
                 answer = await call_scorer(
-                    self._context.port, state.entry, scoring_call, deadline_s, work.tenant
+                    self._context.port,
+                    state.entry,
+                    scoring_call,
+                    deadline_s,
+                    work.tenant,
+                    self._context.held,
                 )
                 outcome = answer.outcome
                 if answer.load is not None:
--- a/src/worksramp/rollout/scoring_call.py
+++ b/src/worksramp/rollout/scoring_call.py
@@ -2,8 +2,11 @@
 
 from dataclasses import dataclass
 
+import anyio
+
 from worksramp.rollout.batches import Score, ScoringCall
 from worksramp.routing.fingerprint import fingerprint_of
+from worksramp.routing.held_bytes import AnswerSource, AnswerTooLargeError, HeldBytes
 from worksramp.routing.worker_load import ReportedLoad
 from worksramp.routing.worker_port import (
     WorkerAnswer,
@@ -87,7 +90,12 @@
 
 
 async def call_scorer(
-    port: WorkerPort, worker: WorkerEntry, call: ScoringCall, deadline_s: float, tenant: str = ""
+    port: WorkerPort,
+    worker: WorkerEntry,
+    call: ScoringCall,
+    deadline_s: float,
+    tenant: str = "",
+    held: HeldBytes | None = None,
 ) -> ScoringAnswer:
     """Send a scoring call to a worker and read the complete answer.
 
@@ -95,16 +103,22 @@
     outcomes, not raised.
 
     Args:
-        deadline_s: deadline in seconds that is sent to the worker.
+        deadline_s: seconds after which the call ends; sent to the worker as its deadline.
         tenant: tenant whose batch holds the item, empty for none.
+        held: has the limit of an answer; None for the usual one.
     """
+    held = held or HeldBytes()
     try:
-        async with port.send(worker, _request(call, deadline_s, tenant)) as answer:
-            if answer.status // 100 == 2:
-                # The signature counts only once the body is complete.
-                async for _ in answer.body:
-                    pass
-            return ScoringAnswer(_outcome(answer, call), answer.load)
+        with anyio.move_on_after(deadline_s):
+            async with port.send(worker, _request(call, deadline_s, tenant)) as answer:
+                if answer.status // 100 == 2:
+                    # The signature counts only once the body is complete.
+                    source = AnswerSource(worker.worker_id, call.call_id, answer.connection)
+                    await held.skip_body(answer, source)
+                return ScoringAnswer(_outcome(answer, call), answer.load)
+        return ScoringAnswer(ScoringLost("deadline"))
+    except AnswerTooLargeError as exc:
+        return ScoringAnswer(ScoringLost(str(exc)))
     except WorkerUnreachableError as exc:
         return ScoringAnswer(ScoringNotRun(f"unreachable: {exc}", is_unreachable=True))
     except WorkerAnswerBrokenError as exc:
--- a/src/worksramp/routing/forward.py
+++ b/src/worksramp/routing/forward.py
@@ -23,7 +23,7 @@
     to_worker_request,
 )
 from worksramp.routing.hedge import first_result
-from worksramp.routing.held_bytes import HeldBytes
+from worksramp.routing.held_bytes import AnswerSource, HeldBytes
 from worksramp.routing.live_stream import LiveStream, StreamAnswer
 from worksramp.routing.quarantine import Quarantine
 from worksramp.routing.table import Route, RouteKind
@@ -263,7 +263,8 @@
                         is_unfinished = False
                         return None
                     history.record_begun(started)
-                    body = await self._held.read_whole(answer, worker.entry.worker_id, request.request_id)
+                    source = AnswerSource(worker.entry.worker_id, request.request_id, answer.connection)
+                    body = await self._held.read_whole(answer, source)
                     attempt.is_answered = True
                     self._choice.record_success(worker, anyio.current_time() - started, answer.load)
                     self._quarantine.record_complete_answer(request.fingerprint)
--- a/src/worksramp/routing/held_bytes.py
+++ b/src/worksramp/routing/held_bytes.py
@@ -129,7 +129,7 @@
             self._holdings.remove(holding)
             self.total_b -= holding.size_b
 
-    async def read_whole(self, answer: WorkerAnswer, worker_id: str, request_id: str) -> bytes:
+    async def read_whole(self, answer: WorkerAnswer, source: AnswerSource) -> bytes:
         """Return the whole body of an answer.
 
         Raises:
@@ -138,13 +138,27 @@
         """
         # One buffer, since a list of chunks takes many times the bytes of small chunks.
         buffer = bytearray()
-        with self.hold(AnswerSource(worker_id, request_id, answer.connection), buffer.clear) as holding:
+        with self.hold(source, buffer.clear) as holding:
             async for chunk in answer.body:
                 holding.resize(len(buffer) + len(chunk))
                 buffer += chunk
             holding.check()
             return bytes(buffer)
 
+    async def skip_body(self, answer: WorkerAnswer, source: AnswerSource) -> None:
+        """Read the body of an answer to its end without keeping it.
+
+        Raises:
+            AnswerTooLargeError: it is over the limit of an answer.
+            WorkerAnswerBrokenError: it ended early.
+        """
+        num_read_b = 0
+        with self.hold(source, lambda: None) as holding:
+            async for chunk in answer.body:
+                num_read_b += len(chunk)
+                if num_read_b > self.max_answer_b:
+                    holding.drop(HeldLimit.ANSWER)
+
     def resize(self, holding: Holding, size_b: int) -> None:
         """Set how many bytes a holding has, and drop answers until all limits are met."""
         self.total_b += size_b - holding.size_b
--- a/src/worksramp/routing/live_stream.py
+++ b/src/worksramp/routing/live_stream.py
@@ -93,7 +93,7 @@
     async def _read_failure(self, answer: WorkerAnswer, worker: WorkerState) -> WholeAnswer | None:
         """Return an error answer with its complete body, or None if the body could not be read."""
         try:
-            body = await self._held.read_whole(answer, worker.entry.worker_id, self._request.request_id)
+            body = await self._held.read_whole(answer, self._source(answer))
             self._record_answered()
         except WorkerAnswerBrokenError as error:
             self._choice.record_failure(self._request, worker, self._history, f"broken: {error}")
--- a/src/worksramp_emulator/simulation/scoring_mutations.py
+++ b/src/worksramp_emulator/simulation/scoring_mutations.py
@@ -38,7 +38,7 @@
 @mutation("a score is made up")
 def _make_up_score() -> Iterator[None]:
     async def make_up(
-        port: WorkerPort, worker: WorkerEntry, call: ScoringCall, deadline_s: float, tenant: str = ""
+        port: WorkerPort, worker: WorkerEntry, call: ScoringCall, deadline_s: float, *_: object
     ) -> ScoringAnswer:
         return ScoringAnswer(Scored(Score(call.call_id, "made-up")))
 
@@ -51,7 +51,7 @@
     earlier: list[Score] = []
 
     async def swap(
-        port: WorkerPort, worker: WorkerEntry, call: ScoringCall, deadline_s: float, tenant: str = ""
+        port: WorkerPort, worker: WorkerEntry, call: ScoringCall, deadline_s: float, *_: object
     ) -> ScoringAnswer:
         answer = await call_scorer(port, worker, call, deadline_s)
         if isinstance(answer.outcome, Scored):
--- a/tests/unit/test_bytes_without_end.py
+++ b/tests/unit/test_bytes_without_end.py
@@ -15,7 +15,8 @@
 from tests.unit.test_forward import DEADLINE_SECONDS, Script, ScriptedPort, forward_one, route
 from worksramp.logs import configure_logs
 from worksramp.rollout.batch_run import MAX_TEXT_B, RunOutcome, RunOverLimit, RunSpec, TextBuilder, run_item
-from worksramp.rollout.batches import BatchItem
+from worksramp.rollout.batches import BatchItem, ScoringCall
+from worksramp.rollout.scoring_call import ScoringAnswer, ScoringLost, call_scorer
 from worksramp.routing import events, held_bytes
 from worksramp.routing.attempts import LiveRequest, WholeAnswer
 from worksramp.routing.events import MAX_EVENT_ID_B, EventSplitter
@@ -317,3 +318,26 @@
     splitter = EventSplitter()
     usable, unusable = splitter.feed(b"id: %s\n\nid: %s\n\n" % (b"i" * MAX_EVENT_ID_B, b"i" * 5000))
     assert usable.event_id == "i" * MAX_EVENT_ID_B and unusable.event_id is None
+
+
+CALL = ScoringCall("call-1", "h", "/score", b"")
+
+
+@pytest.mark.parametrize(
+    "chunk, pause_s, seconds", [(b"x", 0.1, 1.0), (b"x" * CHUNK_B, CHUNK_S, 0.1)], ids=["trickle", "flood"]
+)
+def test_a_scoring_call_ends_whatever_its_scorer_sends(chunk: bytes, pause_s: float, seconds: float) -> None:
+    # Only the owner's watch ended such a call, and it passes over items whose route is gone.
+    port = EndlessPort([Script("endless")], chunk=chunk, pause_s=pause_s)
+    limits: list[HeldLimit] = []
+
+    async def main() -> tuple[ScoringAnswer, float]:
+        with anyio.fail_after(2.0):
+            answer = await call_scorer(port, WORKER, CALL, 1.0, held=HeldBytes(on_dropped=limits.append))
+        return answer, anyio.current_time()
+
+    answer, ended_at = run_simulated(main, 1)
+    assert isinstance(answer.outcome, ScoringLost) and not answer.outcome.is_connection_lost
+    assert ended_at <= seconds + 1e-6 and port.num_open == 0
+    assert max(port.num_taken_b) <= NO_LIMIT_B
+    assert limits == ([] if seconds == 1.0 else [HeldLimit.ANSWER])
