--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -6,7 +6,14 @@
 import anyio
 import httpx
 import pytest
-from worksramp_platform.http_calls import CallTimeouts, CompleteHttpResponse, HeaderPairs, HttpClient, Target
+from worksramp_platform.http_calls import (
+    MAX_BODY_B,
+    CallTimeouts,
+    CompleteHttpResponse,
+    HeaderPairs,
+    HttpClient,
+    Target,
+)
 from worksramp_platform.store import StoreLog
 
 from tests.platform.standin import StoreApp
@@ -39,12 +46,19 @@
         self._transport = httpx.ASGITransport(app=app)
 
     async def call(
-        self, method: str, target: Target, headers: HeaderPairs, body: bytes, timeouts: CallTimeouts
+        self,
+        method: str,
+        target: Target,
+        headers: HeaderPairs,
+        body: bytes,
+        timeouts: CallTimeouts,
+        max_body_b: int = MAX_BODY_B,
     ) -> CompleteHttpResponse:
         """Return the response of the application."""
         url = f"http://{target.address}{target.path.decode()}"
         async with httpx.AsyncClient(transport=self._transport) as client:
             answer = await client.request(method, url, headers=headers, content=body)
+        assert len(answer.content) <= max_body_b
         return CompleteHttpResponse(answer.status_code, answer.headers.raw, answer.content)
 
 
