Texts of ended batches: bounded by their size as well as by their number

An owner keeps up to 512 texts of ended batches for a later one. With 1 MB for a text that was up to 512 MB, on machines of 128 to 552 MB. Now 4 MB of them, the newest; an older one is read from nothing but begins again, or goes on from its checkpoint at the next owner. Same class as the limits of answers: bytes held by number alone.

Test: test_texts_kept_of_ended_batches_are_bounded_by_their_size; the code before has no class to test.

--- a/src/worksramp/rollout/batch_run.py
+++ b/src/worksramp/rollout/batch_run.py
@@ -62,7 +62,7 @@
             text.is_whole,
             text.score,
             text.num_scoring_failures,
-            sum(_size_b(piece) for piece in text.pieces),
+            sum(piece_size_b(piece) for piece in text.pieces),
         )
 
     def freeze(self, batch_id: str) -> GeneratedText:
@@ -91,14 +91,15 @@
     def add(self, event: StreamEvent, version: int) -> None:
         """Add a complete event that weight version ``version`` generated."""
         self.pieces.append(event.data)
-        self.size_b += _size_b(event.data)
+        self.size_b += piece_size_b(event.data)
         self.score = None
         self.last_event_id = event.event_id
         if version not in self.versions:
             self.versions.append(version)
 
 
-def _size_b(piece: str) -> int:
+def piece_size_b(piece: str) -> int:
+    """Return the bytes of an event's data in a text, with the line feed after it."""
     return len(piece.encode()) + 1
 
 
--- a/src/worksramp/rollout/text_keeper.py
+++ b/src/worksramp/rollout/text_keeper.py
@@ -12,6 +12,7 @@
 from worksramp.coordination.shared_log import KeyedRecord
 from worksramp.coordination.value_store import NotStored, ValuesUnavailableError
 from worksramp.mechanisms import mechanism
+from worksramp.rollout.batch_run import EVENT_OVERHEAD_B, piece_size_b
 from worksramp.rollout.batch_values import value_tombstones
 from worksramp.rollout.batches import Batch, GeneratedText, batch_tombstones
 from worksramp.rollout.item_work import ItemWork
@@ -28,6 +29,7 @@
 #: Batches are kept for this multiple of the promised retention time, because clocks of machines differ.
 EXPIRY_FACTOR = 1.5
 MAX_TEXTS_OF_ENDED_BATCHES = 512
+MAX_TEXTS_OF_ENDED_BATCHES_B = 4 * 1024 * 1024
 #: All checkpoints are in one group, and so in one partition, which a new owner reads as a whole.
 PROGRESS_GROUP = "progress"
 KEY_PREFIX = "p/"
@@ -42,7 +44,7 @@
         self._context = context
         self._items = items
         #: Texts of items whose batch has ended; a later batch may contain the item again.
-        self._of_ended_batches: OrderedDict[str, GeneratedText] = OrderedDict()
+        self._of_ended_batches = RecentTexts(MAX_TEXTS_OF_ENDED_BATCHES, MAX_TEXTS_OF_ENDED_BATCHES_B)
         #: Encoded texts that former owners stored, by `ItemWork.text_id`.
         self._from_former_owners: dict[str, bytes] = {}
         #: Text ids of items that may have a text in the store.
@@ -73,13 +75,11 @@
     def keep_for_later_batch(self, work: ItemWork) -> None:
         """Keep the text of an item whose batch has ended; a later batch may contain the item again."""
         self.checkpoint_item(work, min_new_events=1)
-        self._of_ended_batches[work.text_id] = work.text.freeze(work.key[0])
-        while len(self._of_ended_batches) > MAX_TEXTS_OF_ENDED_BATCHES:
-            self._of_ended_batches.popitem(last=False)
+        self._of_ended_batches.put(work.text_id, work.text.freeze(work.key[0]))
 
     def discard(self, text_id: str) -> None:
         """Discard the text of an item that is listed, or whose batch has expired."""
-        self._of_ended_batches.pop(text_id, None)
+        self._of_ended_batches.pop(text_id)
         self._from_former_owners.pop(text_id, None)
         if text_id in self._stored:
             self._stored.discard(text_id)
@@ -154,3 +154,43 @@
                 self.discard(text_id)
         self._context.writer.put(*batch_tombstones(batch))
         logger.info("batch_forgotten", batch_id=batch_id)
+
+
+class RecentTexts:
+    """Texts by id; the oldest go first.
+
+    Args:
+        max_texts: most texts.
+        max_size_b: most bytes of all texts.
+
+    Attributes:
+        size_b: bytes of all texts.
+    """
+
+    def __init__(self, max_texts: int, max_size_b: int) -> None:
+        self._max_texts = max_texts
+        self._max_size_b = max_size_b
+        self._texts: OrderedDict[str, GeneratedText] = OrderedDict()
+        self.size_b = 0
+
+    def get(self, text_id: str) -> GeneratedText | None:
+        """Return a text, None if it is not kept."""
+        return self._texts.get(text_id)
+
+    def put(self, text_id: str, text: GeneratedText) -> None:
+        """Keep a text in place of an earlier one of that id."""
+        self.pop(text_id)
+        self._texts[text_id] = text
+        self.size_b += _held_b(text)
+        while len(self._texts) > self._max_texts or self.size_b > self._max_size_b:
+            self.pop(next(iter(self._texts)))
+
+    def pop(self, text_id: str) -> None:
+        """Drop a text, if it is kept."""
+        text = self._texts.pop(text_id, None)
+        if text is not None:
+            self.size_b -= _held_b(text)
+
+
+def _held_b(text: GeneratedText) -> int:
+    return sum(piece_size_b(piece) + EVENT_OVERHEAD_B for piece in text.pieces)
--- a/tests/unit/test_bytes_without_end.py
+++ b/tests/unit/test_bytes_without_end.py
@@ -14,9 +14,18 @@
 
 from tests.unit.test_forward import DEADLINE_SECONDS, Script, ScriptedPort, forward_one, route
 from worksramp.logs import configure_logs
-from worksramp.rollout.batch_run import MAX_TEXT_B, RunOutcome, RunOverLimit, RunSpec, TextBuilder, run_item
-from worksramp.rollout.batches import BatchItem, ScoringCall
+from worksramp.rollout.batch_run import (
+    EVENT_OVERHEAD_B,
+    MAX_TEXT_B,
+    RunOutcome,
+    RunOverLimit,
+    RunSpec,
+    TextBuilder,
+    run_item,
+)
+from worksramp.rollout.batches import BatchItem, GeneratedText, ScoringCall
 from worksramp.rollout.scoring_call import ScoringAnswer, ScoringLost, call_scorer
+from worksramp.rollout.text_keeper import RecentTexts
 from worksramp.routing import events, held_bytes
 from worksramp.routing.attempts import LiveRequest, WholeAnswer
 from worksramp.routing.events import MAX_EVENT_ID_B, EventSplitter
@@ -341,3 +350,22 @@
     assert ended_at <= seconds + 1e-6 and port.num_open == 0
     assert max(port.num_taken_b) <= NO_LIMIT_B
     assert limits == ([] if seconds == 1.0 else [HeldLimit.ANSWER])
+
+
+def test_texts_kept_of_ended_batches_are_bounded_by_their_size() -> None:
+    # Their number was bounded alone, so a few hundred texts near the limit of a text filled a machine.
+    texts = RecentTexts(max_texts=10, max_size_b=10 * (1000 + EVENT_OVERHEAD_B))
+    for number in range(40):
+        texts.put(f"i{number}", GeneratedText(("x" * 999,) * 2))
+    assert [f"i{number}" for number in range(40) if texts.get(f"i{number}") is not None] == [
+        "i35", "i36", "i37", "i38", "i39",
+    ]  # fmt: skip
+    texts.put("i39", GeneratedText(("x",)))
+    texts.pop("i35")
+    for number in range(20):
+        texts.put(f"small{number}", GeneratedText(("x",)))
+    assert texts.get("i39") is None and texts.get("small10") is not None and texts.get("small9") is None
+    for number in range(10, 20):
+        texts.pop(f"small{number}")
+    texts.pop("unknown")
+    assert texts.size_b == 0
