--- a/src/worksramp/routing/live_stream.py
+++ b/src/worksramp/routing/live_stream.py
@@ -16,6 +16,7 @@
     to_worker_request,
 )
 from worksramp.routing.events import EventSplitter
+from worksramp.routing.held_bytes import AnswerSource, HeldBytes
 from worksramp.routing.quarantine import Quarantine
 from worksramp.routing.table import Route
 from worksramp.routing.worker_port import (
@@ -55,6 +56,7 @@
         port: WorkerPort,
         choice: WorkerChoice,
         quarantine: Quarantine,
+        held: HeldBytes,
         request: LiveRequest,
         route: Route,
         history: AttemptHistory,
@@ -62,6 +64,7 @@
         self._port = port
         self._choice = choice
         self._quarantine = quarantine
+        self._held = held
         self._request = request
         self._route = route
         self._history = history
@@ -90,7 +93,7 @@
     async def _read_failure(self, answer: WorkerAnswer, worker: WorkerState) -> WholeAnswer | None:
         """Return an error answer with its complete body, or None if the body could not be read."""
         try:
-            body = b"".join([chunk async for chunk in answer.body])
+            body = await self._held.read_whole(answer, self._source(answer))
             self._record_answered()
         except WorkerAnswerBrokenError as error:
             self._choice.record_failure(self._request, worker, self._history, f"broken: {error}")
@@ -134,14 +137,18 @@
         is_id_known = True
         while True:
             splitter = EventSplitter()
+            holding = self._attempt_stack.enter_context(self._held.hold(self._source(answer), splitter.clear))
             reason = "ended inside an event"
             try:
                 async for chunk in answer.body:
+                    holding.check()
                     for event in splitter.feed(chunk):
                         if not event.is_empty:
                             is_id_known = event.event_id is not None
                         last_id = event.event_id or last_id
                         yield event.block
+                    holding.resize(splitter.size_b)
+                holding.check()
                 if not splitter.has_partial_event:
                     if splitter.rest:
                         yield splitter.rest
@@ -177,6 +184,10 @@
             await self._attempt_stack.aclose()
         raise WorkerAnswerBrokenError(f"not resumed: {reason}")
 
+    def _source(self, answer: WorkerAnswer) -> AnswerSource:
+        worker_id = "" if self._worker is None else self._worker.entry.worker_id
+        return AnswerSource(worker_id, self._request.request_id, answer.connection)
+
     def _record_answered(self) -> None:
         if self._attempt is not None:
             self._attempt.is_answered = True
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -11,7 +11,14 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from worksramp_platform.http_calls import CallTimeouts, CompleteHttpResponse, HeaderPairs, HttpClient, Target
+from worksramp_platform.http_calls import (
+    MAX_BODY_B,
+    CallTimeouts,
+    CompleteHttpResponse,
+    HeaderPairs,
+    HttpClient,
+    Target,
+)
 from worksramp_platform.store import StoreLog
 
 from tests.platform.standin import StoreApp
@@ -45,12 +52,19 @@
         self._transport = httpx.ASGITransport(app=app)
 
     async def call(
-        self, method: str, target: Target, headers: HeaderPairs, body: bytes, timeouts: CallTimeouts
+        self,
+        method: str,
+        target: Target,
+        headers: HeaderPairs,
+        body: bytes,
+        timeouts: CallTimeouts,
+        max_body_b: int = MAX_BODY_B,
     ) -> CompleteHttpResponse:
         """Return the response of the application."""
         url = f"http://{target.address}{target.path.decode()}"
         async with httpx.AsyncClient(transport=self._transport) as client:
             answer = await client.request(method, url, headers=headers, content=body)
+        assert len(answer.content) <= max_body_b
         return CompleteHttpResponse(answer.status_code, answer.headers.raw, answer.content)
 
 
@@ -142,7 +156,13 @@
         self.response = CompleteHttpResponse(status, [], body)
 
     async def call(
-        self, method: str, target: Target, headers: HeaderPairs, body: bytes, timeouts: CallTimeouts
+        self,
+        method: str,
+        target: Target,
+        headers: HeaderPairs,
+        body: bytes,
+        timeouts: CallTimeouts,
+        max_body_b: int = MAX_BODY_B,
     ) -> CompleteHttpResponse:
         """Return the response."""
         await anyio.lowlevel.checkpoint()
