--- a/src/worksramp_emulator/cli.py
+++ b/src/worksramp_emulator/cli.py
@@ -31,6 +31,9 @@
 from worksramp_emulator.simulation.prove import CHAOS, prove
 from worksramp_emulator.simulation.runner import RunResult
 from worksramp_emulator.simulation.scenarios import SCENARIOS
+from worksramp_emulator.soak.plan import Plan
+from worksramp_emulator.soak.runner import run_soak
+from worksramp_emulator.soak.words import load_words
 from worksramp_emulator.trainer_http import run_http_trainer
 
 EXIT_FAILED = 1
@@ -122,6 +125,39 @@
             print_result(report.failed[0])
             raise SystemExit(EXIT_FAILED)
 
+    def soak(
+        self,
+        seed: int,
+        seconds: float,
+        out: str = "",
+        trouble: str = "on",
+        signals: bool = False,
+        words: str = "deploy/soak.toml",
+    ) -> None:
+        """Run real nodes on loopback before workers that answer twice, and check what all others saw.
+
+        Logs, schedule and verdict go into the folder ``--out``, by default a folder of the seed under
+        ``target/soak``. The exit code is 1 if a promise was broken. ``--trouble off`` is the baseline;
+        ``--signals`` stops, kills and pauses nodes at random moments. ``words`` is a file of the platform's
+        names in a folder below the root of the project.
+
+        Example: ``worksramp-emulator soak --seed 7 --seconds 20``
+        """
+        file = Path(words).resolve()
+        plan = Plan(seed, seconds, has_trouble=trouble != "off", has_signals=signals)
+        try:
+            names = load_words(file)
+        except (OSError, tomllib.TOMLDecodeError, msgspec.ValidationError) as error:
+            print(f"{words}: {error}", file=sys.stderr)
+            raise SystemExit(EXIT_USAGE) from error
+        root = file.parent.parent
+        folder = Path(out) if out else root / "target" / "soak" / str(seed)
+        verdict = anyio.run(run_soak, plan, names, root, folder.resolve())
+        print(f"seed {seed} | {verdict.figures.row()}")
+        if verdict.violations:
+            print(verdict.violations[0])
+            raise SystemExit(EXIT_FAILED)
+
     def experiment(self, file: str, out: str, plots: bool = False, processes: int = 4) -> None:
         """Run all policies on the experiments of a file and write ``experiments.csv`` into a folder.
 
--- /dev/null
+++ b/src/worksramp_emulator/soak/runner.py
@@ -0,0 +1,154 @@
+"""Runs a soak and writes its folder: logs, schedule, record and verdict."""
+
+import random
+from collections.abc import Iterator
+from dataclasses import dataclass
+from pathlib import Path
+
+import anyio
+import anyio.abc
+
+from worksramp_emulator.shared_log import LogStore
+from worksramp_emulator.soak.callers import Client, Submitter, Surroundings
+from worksramp_emulator.soak.checks import Figures, figures, violations
+from worksramp_emulator.soak.nodes import NodeProcess
+from worksramp_emulator.soak.plan import NUM_CLIENTS, NUM_NODES, NodeSignal, Plan
+from worksramp_emulator.soak.record import Record
+from worksramp_emulator.soak.store import StoreServer
+from worksramp_emulator.soak.words import Words
+from worksramp_emulator.soak.workers import FIRST_VERSION, ModelWorker, Worker, WorkerSite
+
+NUM_WORKERS = 3
+NUM_SUBMITTERS = 5
+NEW_VERSION_EVERY_S = 4.0
+#: Time after the load within which the last batches are read to their end.
+DRAIN_S = 15.0
+
+
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    """Outcome of a soak: figures and all violations in words."""
+
+    figures: Figures
+    violations: tuple[str, ...]
+
+
+async def run_soak(plan: Plan, words: Words, root: Path, folder: Path) -> Verdict:
+    """Run a soak.
+
+    Args:
+        root: root of the project, in which the nodes' command runs.
+        folder: folder for the logs, the schedule and the verdict.
+
+    Raises:
+        TimeoutError: the nodes do not become ready.
+    """
+    folder.mkdir(parents=True, exist_ok=True)
+    (folder / "schedule.txt").write_text(plan.describe())
+    async with anyio.create_task_group() as group:
+        soak = _Soak(plan, words, root, folder, group)
+        try:
+            await soak.start()
+            await soak.load()
+        finally:
+            with anyio.CancelScope(shield=True):
+                await soak.stop()
+            group.cancel_scope.cancel()
+    return soak.write_verdict()
+
+
+class _Soak:
+    def __init__(
+        self, plan: Plan, words: Words, root: Path, folder: Path, group: anyio.abc.TaskGroup
+    ) -> None:
+        self._plan = plan
+        self._words = words
+        self._root = root
+        self._folder = folder
+        self._group = group
+        self._record = Record()
+        self._store = StoreServer(LogStore(random.Random(plan.seed), group), words)
+        self._version = FIRST_VERSION
+        self._workers = list(self._make_workers())
+        self._nodes: list[NodeProcess] = []
+
+    def _make_workers(self) -> Iterator[Worker]:
+        site = WorkerSite(self._words, self._plan, self._record, self._group, self._put_entry)
+        for number in range(NUM_WORKERS):
+            yield Worker(f"i-desk{number}", number % 2 == 0, site)
+            yield ModelWorker(f"i-fleet{number}", number % 2 == 0, site)
+
+    @property
+    def _model_workers(self) -> list[ModelWorker]:
+        return [worker for worker in self._workers if isinstance(worker, ModelWorker)]
+
+    def _put_entry(self, worker_id: str, entry: dict[str, object]) -> None:
+        self._store.put(self._words.store.workers_topic, worker_id, entry)
+
+    async def start(self) -> None:
+        for server in (self._store.server, *(worker.server for worker in self._workers)):
+            await server.listen()
+            self._group.start_soon(server.run)
+        self._store.put(self._words.store.control_topic, "config", self._words.configuration)
+        for worker in self._workers:
+            worker.publish()
+        store_address = self._store.server.address
+        self._nodes = [
+            NodeProcess(number, self._words, self._root, self._folder, store_address, self._record)
+            for number in range(NUM_NODES)
+        ]
+        for node in self._nodes:
+            self._group.start_soon(node.run)
+        for node in self._nodes:
+            await node.wait_ready()
+
+    async def load(self) -> None:
+        """Send requests and batches until the time is up, then wait for the last answers."""
+        self._record.started_s = anyio.current_time()
+        around = Surroundings(
+            self._words, self._plan, self._record, tuple(node.front for node in self._nodes)
+        )
+        with anyio.move_on_after(self._plan.length_s + DRAIN_S):
+            async with anyio.create_task_group() as group:
+                for number in range(NUM_CLIENTS):
+                    group.start_soon(Client(number, around).run)
+                for number in range(NUM_SUBMITTERS):
+                    group.start_soon(Submitter(number, around).run)
+                for sent in self._plan.signals():
+                    group.start_soon(self._signal, sent)
+                group.start_soon(self._name_versions)
+                group.start_soon(self._wait_for_versions)
+
+    async def _signal(self, sent: NodeSignal) -> None:
+        await anyio.sleep(sent.at_s)
+        await self._nodes[sent.node].take(sent)
+
+    async def _name_versions(self) -> None:
+        """Name versions of the model while there is load."""
+        while self._record.now_s() + NEW_VERSION_EVERY_S < self._plan.length_s:
+            await anyio.sleep(NEW_VERSION_EVERY_S)
+            self._version += 1
+            value = {"model": self._words.model, "version": self._version}
+            self._store.put(self._words.store.control_topic, f"version/{self._words.model}", value)
+
+    async def _wait_for_versions(self) -> None:
+        """Wait until all workers hold the last version."""
+        await anyio.sleep(self._plan.length_s)
+        while any(worker.version != self._version for worker in self._model_workers):
+            await anyio.sleep(0.1)
+
+    async def stop(self) -> None:
+        async with anyio.create_task_group() as group:
+            for node in self._nodes:
+                group.start_soon(node.stop)
+
+    def write_verdict(self) -> Verdict:
+        num_connections = sum(worker.server.num_connections for worker in self._workers)
+        verdict = Verdict(
+            figures(self._record, num_connections),
+            tuple(violations(self._record, self._model_workers, self._version)),
+        )
+        lines = [verdict.violations[0] if verdict.violations else "held", repr(verdict.figures)]
+        (self._folder / "verdict.txt").write_text("\n".join([*lines, *verdict.violations]) + "\n")
+        (self._folder / "record.txt").write_text("\n".join(self._record.log) + "\n")
+        return verdict
--- /dev/null
+++ b/src/worksramp_emulator/soak/workers.py
@@ -0,0 +1,320 @@
+"""Stand-ins of workers that answer twice."""
+
+import json
+import random
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+import anyio
+import anyio.abc
+import xxhash
+
+from worksramp_emulator.soak.plan import CHUNKED_SHARE, Kind, Plan, Surplus
+from worksramp_emulator.soak.record import ItemRun, Record, WorkerAnswer
+from worksramp_emulator.soak.server import (
+    CHUNK_END,
+    CONNECTION_ERRORS,
+    Link,
+    Request,
+    Server,
+    format_answer,
+    format_chunk,
+    format_head,
+)
+from worksramp_emulator.soak.words import Words
+
+#: Header of the soak's callers that names the send, with a number that no other send has.
+SERIAL_HEADER = "soak-serial"
+REJECTED_SHARE, FAILED_SHARE = 0.06, 0.03
+ITEM_REJECTED_SHARE = 0.3
+SERVICE_S = (0.004, 0.05)
+NUM_STREAM_EVENTS = 5
+STREAM_EVENT_S = 0.01
+MIN_ITEM_EVENTS, MAX_ITEM_EVENTS = 10, 35
+ITEM_EVENT_S = 0.04
+LOAD_S = 0.6
+NUM_SLOTS = 8
+FIRST_VERSION = 1
+OTHER_STATUSES = {200: (500, 503), 202: (200, 409, 412)}
+
+
+def item_text(item_id: str) -> list[str]:
+    """Return the data of all events of an item."""
+    num_events = MIN_ITEM_EVENTS + xxhash.xxh32_intdigest(item_id.encode()) % (
+        MAX_ITEM_EVENTS - MIN_ITEM_EVENTS
+    )
+    return [f"piece {number} of {item_id}" for number in range(1, num_events + 1)]
+
+
+def stream_event(serial: str, number: int) -> bytes:
+    """Return an event of a caller's stream."""
+    return f"id: {number}\ndata: {serial} {number}\n\n".encode()
+
+
+@dataclass(frozen=True, slots=True)
+class WorkerSite:
+    """What all workers share.
+
+    Attributes:
+        tasks: tasks that outlive a connection.
+        put_entry: writes the entry of a worker into the store.
+    """
+
+    words: Words
+    plan: Plan
+    record: Record
+    tasks: anyio.abc.TaskGroup
+    put_entry: Callable[[str, dict[str, Any]], None]
+
+
+class Worker:
+    """A worker of one service.
+
+    Args:
+        carries_ids: whether its answers to orders and reports carry the id back that the call had.
+    """
+
+    service = "desk"
+
+    def __init__(self, worker_id: str, carries_ids: bool, site: WorkerSite) -> None:
+        self.worker_id = worker_id
+        self.server = Server(self._handle)
+        self._site = site
+        self._words = site.words
+        self._names = site.words.headers
+        self._plan = site.plan
+        self._record = site.record
+        self._carries_ids = carries_ids
+        self._num_seen: Counter[str] = Counter()
+        self._num_running = 0
+
+    def publish(self) -> None:
+        """Write the worker's entry into the store."""
+        self._site.put_entry(self.worker_id, self._entry())
+
+    def _entry(self) -> dict[str, Any]:
+        return {
+            "service": self.service,
+            "address": self.server.address,
+            "zone": "z",
+            "version": "1",
+            "slots": NUM_SLOTS,
+            "state": "ready",
+            "coldLeftMs": 0,
+            "seq": 0,
+        }
+
+    async def _handle(self, request: Request, link: Link) -> None:
+        name = request.headers.get(SERIAL_HEADER) or self._request_id(request) or request.path
+        self._num_seen[name] += 1
+        draws = self._plan.source(self.worker_id, name, self._num_seen[name])
+        if request.headers.get(self._names.expect_instance.lower()) != self.worker_id:
+            await link.send(format_answer(421, {self._names.instance_id: self.worker_id}, b""))
+        elif request.path == self._words.paths.report:
+            await self._answer_call(link, draws, request, 200, json.dumps(self._report()).encode())
+        elif request.path == self._words.paths.order:
+            await self._answer_call(link, draws, request, self._order(json.loads(request.body)), b"")
+        else:
+            await self._run(request, link, draws)
+
+    def _request_id(self, request: Request) -> str:
+        return request.headers.get(self._names.request_id.lower(), "")
+
+    def _report(self) -> dict[str, Any]:
+        return {"stage": "both", "models": [], "busy": False, "seq": 0, "runningCount": self._num_running}
+
+    def _order(self, order: dict[str, Any]) -> int:
+        return 400
+
+    async def _answer_call(
+        self, link: Link, draws: random.Random, request: Request, status: int, body: bytes
+    ) -> None:
+        request_id = self._request_id(request) if self._carries_ids else ""
+        headers = {self._names.request_id: request_id} if request_id else {}
+        other = draws.choice(OTHER_STATUSES.get(status, (200,)))
+        async with link.turn:
+            await link.send(format_answer(status, headers, body, draws.random() < CHUNKED_SHARE))
+        if surplus := self._plan.surplus(draws):
+            other_status = other if surplus.has_other_status else status
+            kept = headers if surplus.has_id else {}
+            data = format_answer(other_status, kept, body, surplus.is_chunked)
+            self._write_later(link, surplus, data, request.path)
+
+    def _write_later(self, link: Link, surplus: Surplus, data: bytes, what: str) -> None:
+        """Write a second answer on the connection of the first, between other answers."""
+
+        async def write() -> None:
+            await anyio.sleep(surplus.delay_s)
+            try:
+                async with link.turn:
+                    await link.send(data)
+                    self._record.surpluses[what] += 1
+            except CONNECTION_ERRORS:
+                return
+
+        link.tasks.start_soon(write)
+
+    async def _run(self, request: Request, link: Link, draws: random.Random) -> None:
+        serial, kind = request.headers.get(SERIAL_HEADER, ""), self._kind_of(request)
+        draw, service_s = draws.random(), draws.uniform(*SERVICE_S)
+        status = 503 if draw < REJECTED_SHARE else 500 if draw < REJECTED_SHARE + FAILED_SHARE else 200
+        if self._num_running >= NUM_SLOTS:
+            status = 503
+        stamp = f"{self.worker_id}.{serial}.{self._num_seen[serial]}"
+        if status != 503:
+            self._record.num_runs[serial] += 1
+            self._num_running += 1
+            try:
+                await anyio.sleep(service_s)
+            finally:
+                self._num_running -= 1
+        if kind is Kind.STREAM and status == 200:
+            await self._stream(link, draws, request, serial, stamp)
+        else:
+            await self._answer(link, draws, request, status, stamp, f"{stamp} {status}".encode())
+
+    def _kind_of(self, request: Request) -> Kind:
+        is_stream = request.path.startswith(self._words.paths.stream)
+        return Kind.STREAM if is_stream else Kind.ONCE
+
+    def _own_headers(self, request_id: str, status: int, stamp: str) -> dict[str, str]:
+        headers = {self._names.request_id: request_id} if request_id else {}
+        if status == 503:
+            return {**headers, self._names.not_executed: "1"}
+        return {**headers, self._names.stamp: stamp}
+
+    async def _answer(
+        self, link: Link, draws: random.Random, request: Request, status: int, stamp: str, body: bytes
+    ) -> None:
+        """Answer a live request, perhaps twice; the second answer's body tells that it is not the first."""
+        request_id, serial = self._request_id(request), request.headers.get(SERIAL_HEADER, "")
+        headers = self._own_headers(request_id, status, stamp)
+        stamp_seen = headers.get(self._names.stamp, "")
+        self._record.answers_made[serial].append(WorkerAnswer(status, stamp_seen, body))
+        other = draws.choice(OTHER_STATUSES.get(status, (200,)))
+        async with link.turn:
+            await link.send(format_answer(status, headers, body, draws.random() < CHUNKED_SHARE))
+        if surplus := self._plan.surplus(draws):
+            data = self._surplus_of(surplus, request_id, status, other, stamp, body)
+            self._write_later(link, surplus, data, "requests")
+
+    def _surplus_of(
+        self, surplus: Surplus, request_id: str, status: int, other: int, stamp: str, body: bytes
+    ) -> bytes:
+        kept_id = request_id if surplus.has_id else ""
+        if surplus.has_other_status:
+            status, body = other, b"second answer: " + body
+        return format_answer(status, self._own_headers(kept_id, status, stamp), body, surplus.is_chunked)
+
+    async def _stream(
+        self, link: Link, draws: random.Random, request: Request, serial: str, stamp: str
+    ) -> None:
+        request_id = self._request_id(request)
+        headers = self._own_headers(request_id, 200, stamp) | {"Content-Type": "text/event-stream"}
+        events = [stream_event(serial, number) for number in range(1, NUM_STREAM_EVENTS + 1)]
+        self._record.answers_made[serial].append(WorkerAnswer(200, stamp, b"".join(events)))
+        async with link.turn:
+            await link.send(format_head(200, {**headers, "Transfer-Encoding": "chunked"}))
+            for event in events:
+                await anyio.sleep(STREAM_EVENT_S)
+                await link.send(format_chunk(event))
+            await link.send(CHUNK_END)
+        if surplus := self._plan.surplus(draws):
+            other = draws.choice(OTHER_STATUSES[200])
+            data = self._surplus_of(surplus, request_id, 200, other, stamp, b"".join(events))
+            self._write_later(link, surplus, data, "streams")
+
+
+class ModelWorker(Worker):
+    """A worker that runs the items of batches as streams of events, and takes version orders."""
+
+    service = "fleet"
+
+    def __init__(self, worker_id: str, carries_ids: bool, site: WorkerSite) -> None:
+        super().__init__(worker_id, carries_ids, site)
+        self.version = FIRST_VERSION
+        self._num_orders = 0
+        self._highest_fence = 0
+        self._is_loading = False
+
+    def _entry(self) -> dict[str, Any]:
+        return {**super()._entry(), "stage": "both", "models": self._models(), "seq": self._num_orders}
+
+    def _models(self) -> list[dict[str, Any]]:
+        return [{"name": self._words.model, "version": self.version, "adapters": []}]
+
+    def _report(self) -> dict[str, Any]:
+        fields = {"models": self._models(), "busy": self._is_loading, "seq": self._num_orders}
+        return {**super()._report(), **fields}
+
+    def _order(self, order: dict[str, Any]) -> int:
+        self._record.orders[self.worker_id, order["fence"]].add(order["holder"])
+        status = self._status_of(order)
+        self._record.note(self.worker_id, f"order of {order['holder']} to load {order['version']}: {status}")
+        if status == 202:
+            self._highest_fence = order["fence"]
+            self._num_orders += 1
+            self._is_loading = True
+            self._site.tasks.start_soon(self._load, order["version"])
+        return status
+
+    def _status_of(self, order: dict[str, Any]) -> int:
+        if order["fence"] < self._highest_fence:
+            return 412
+        if self._is_loading or order.get("expectedRev", self._num_orders) != self._num_orders:
+            return 409
+        return 200 if order["version"] <= self.version else 202
+
+    async def _load(self, version: int) -> None:
+        self.publish()
+        await anyio.sleep(LOAD_S)
+        self.version, self._is_loading = version, False
+        self.publish()
+
+    async def _run(self, request: Request, link: Link, draws: random.Random) -> None:
+        item_id = self._request_id(request)
+        is_rejected = draws.random() < ITEM_REJECTED_SHARE
+        if is_rejected or self._is_loading or self._num_running >= NUM_SLOTS:
+            headers = self._own_headers(item_id, 503, "")
+            async with link.turn:
+                await link.send(format_answer(503, headers, b"", draws.random() < CHUNKED_SHARE))
+            if surplus := self._plan.surplus(draws):
+                data = self._surplus_of(surplus, item_id, 503, 200, f"{self.worker_id}.{item_id}", b"")
+                self._write_later(link, surplus, data, "rejections")
+            return
+        run = ItemRun(item_id, self.worker_id, self._record.now_s())
+        self._record.item_runs.append(run)
+        self._num_running += 1
+        try:
+            await self._run_item(request, link, draws, run)
+        finally:
+            self._num_running -= 1
+            run.ended_s = self._record.now_s()
+
+    async def _run_item(self, request: Request, link: Link, draws: random.Random, run: ItemRun) -> None:
+        item_id, version = run.item_id, self.version
+        stamp = f"{self.worker_id}.{item_id}.{self._num_seen[item_id]}"
+        headers = self._own_headers(item_id, 200, stamp)
+        headers |= {"Content-Type": "text/event-stream", self._names.versions: str(version)}
+        first = int(request.headers.get("last-event-id", "0")) + 1
+        sent = b""
+        async with link.turn:
+            await link.send(format_head(200, {**headers, "Transfer-Encoding": "chunked"}))
+            for number, data in enumerate(item_text(item_id), start=1):
+                if number < first:
+                    continue
+                await anyio.sleep(ITEM_EVENT_S)
+                line = "" if version == self.version else f"{self._names.versions.lower()}:{self.version}\n"
+                version = self.version
+                run.versions.add(version)
+                event = f"{line}id: {number}\ndata: {data}\n\n".encode()
+                sent += event
+                await link.send(format_chunk(event))
+            await link.send(CHUNK_END)
+        if surplus := self._plan.surplus(draws):
+            other = draws.choice(OTHER_STATUSES[200])
+            self._write_later(
+                link, surplus, self._surplus_of(surplus, item_id, 200, other, stamp, sent), "items"
+            )
