--- a/src/worksramp_emulator/soak/callers.py
+++ b/src/worksramp_emulator/soak/callers.py
@@ -11,7 +11,14 @@
 
 from worksramp_emulator.soak.caller import Answer, CallerConnection
 from worksramp_emulator.soak.plan import Kind, Plan, Send
-from worksramp_emulator.soak.record import NO_ANSWER, BatchSeen, CallerAnswer, Record
+from worksramp_emulator.soak.record import (
+    NO_ANSWER,
+    BatchSeen,
+    CallerAnswer,
+    ItemResult,
+    Record,
+    scoring_call_id,
+)
 from worksramp_emulator.soak.words import Words
 from worksramp_emulator.soak.workers import SERIAL_HEADER
 
@@ -131,6 +138,12 @@
                 "body": base64.b64encode(item_id.encode()).decode(),
                 "tokens": 900,
                 "group": item_id,
+                "scoringCall": {
+                    "id": scoring_call_id(item_id),
+                    "host": words.host,
+                    "path": words.paths.idempotent + item_id,
+                    "body": base64.b64encode(item_id.encode()).decode(),
+                },
             }
             for item_id in seen.item_ids
         ]
@@ -174,5 +187,6 @@
             await connection.close()
 
 
-def _row_of(result: dict[str, Any]) -> tuple[str, str, str, tuple[int, ...]]:
-    return result["id"], result["message"], result["state"], tuple(result["versions"])
+def _row_of(result: dict[str, Any]) -> ItemResult:
+    score = result.get("score", "")
+    return ItemResult(result["id"], result["message"], result["state"], tuple(result["versions"]), score)
--- a/src/worksramp_emulator/soak/checks.py
+++ b/src/worksramp_emulator/soak/checks.py
@@ -6,7 +6,15 @@
 from itertools import combinations
 
 from worksramp_emulator.soak.plan import Kind
-from worksramp_emulator.soak.record import NO_ANSWER, CallerAnswer, ItemRun, Record, WorkerAnswer
+from worksramp_emulator.soak.record import (
+    NO_ANSWER,
+    CallerAnswer,
+    ItemResult,
+    ItemRun,
+    Record,
+    WorkerAnswer,
+    scoring_call_id,
+)
 from worksramp_emulator.soak.workers import ModelWorker, item_text
 
 #: Statuses that promise that a request has not run and never will.
@@ -118,18 +126,26 @@
     for batch in record.batches:
         if not batch.is_ended:
             yield f"LOST: batch {batch.batch_id} was not read to its end, {len(batch.results)} results"
-        ids = Counter(item_id for item_id, *_ in batch.results)
+        ids = Counter(result.item_id for result in batch.results)
         if not set(ids) <= set(batch.item_ids) or max(ids.values(), default=0) > 1:
             yield f"TWICE: batch {batch.batch_id} lists {ids}"
-        for item_id, text, state, seen in batch.results:
-            if state != "completed" or text != "\n".join(item_text(item_id)):
-                yield f"MIXED: item {item_id} is {state} with {text[:80]!r}"
-            if not seen or not set(seen) <= versions.get(item_id, set()):
-                yield f"VERSION: item {item_id} names {seen}, was made by {versions.get(item_id)}"
+        for result in batch.results:
+            yield from _check_result(record, result, versions.get(result.item_id, set()))
     for what in record.changed:
         yield f"TWICE: {what}, read otherwise before"
 
 
+def _check_result(record: Record, result: ItemResult, versions: set[int]) -> Iterator[str]:
+    name = f"item {result.item_id}"
+    if result.state != "completed" or result.text != "\n".join(item_text(result.item_id)):
+        yield f"MIXED: {name} is {result.state} with {result.text[:80]!r}"
+    if not result.versions or not set(result.versions) <= versions:
+        yield f"VERSION: {name} names {result.versions}, was made by {versions}"
+    made = record.answers_made.get(scoring_call_id(result.item_id), [])
+    if result.score not in {answer.stamp for answer in made if answer.status == 200}:
+        yield f"MIXED: {name} has the score {result.score!r}, workers made {made}"
+
+
 @check
 def _one_holder(record: Record) -> Iterator[str]:
     for (worker, fence), holders in record.orders.items():
--- a/src/worksramp_emulator/soak/record.py
+++ b/src/worksramp_emulator/soak/record.py
@@ -51,18 +51,34 @@
     versions: set[int] = field(default_factory=set)
 
 
+@dataclass(frozen=True, slots=True)
+class ItemResult:
+    """A result of an item as it was listed; ``score`` is the stamp of the scoring call's answer."""
+
+    item_id: str
+    text: str
+    state: str
+    versions: tuple[int, ...]
+    score: str
+
+
+def scoring_call_id(item_id: str) -> str:
+    """Return the id of an item's scoring call."""
+    return f"score-{item_id}"
+
+
 @dataclass(slots=True)
 class BatchSeen:
     """What was read of a batch.
 
     Attributes:
-        results: id, text, state and versions at each position, as first read.
+        results: results at each position, as first read.
         is_ended: whether it was read to its end.
     """
 
     batch_id: str
     item_ids: tuple[str, ...]
-    results: list[tuple[str, str, str, tuple[int, ...]]] = field(default_factory=list)
+    results: list[ItemResult] = field(default_factory=list)
     is_ended: bool = False
 
 
--- a/src/worksramp_emulator/soak/runner.py
+++ b/src/worksramp_emulator/soak/runner.py
@@ -7,6 +7,7 @@
 
 import anyio
 import anyio.abc
+import msgspec
 
 from worksramp_emulator.shared_log import LogStore
 from worksramp_emulator.soak.callers import Client, Submitter, Surroundings
@@ -151,4 +152,7 @@
         lines = [verdict.violations[0] if verdict.violations else "held", repr(verdict.figures)]
         (self._folder / "verdict.txt").write_text("\n".join([*lines, *verdict.violations]) + "\n")
         (self._folder / "record.txt").write_text("\n".join(self._record.log) + "\n")
+        for name, rows in (("answers", self._record.answers), ("items", self._record.item_runs)):
+            data = b"\n".join(msgspec.json.encode(row) for row in rows)
+            (self._folder / f"{name}.jsonl").write_bytes(data + b"\n")
         return verdict
--- a/src/worksramp_emulator/soak/workers.py
+++ b/src/worksramp_emulator/soak/workers.py
@@ -34,6 +34,8 @@
 STREAM_EVENT_S = 0.01
 MIN_ITEM_EVENTS, MAX_ITEM_EVENTS = 10, 35
 ITEM_EVENT_S = 0.04
+#: Time in which a prompt is read, before the head of the answer.
+PROMPT_S = (0.01, 0.15)
 LOAD_S = 0.6
 NUM_SLOTS = 8
 FIRST_VERSION = 1
@@ -107,7 +109,7 @@
         }
 
     async def _handle(self, request: Request, link: Link) -> None:
-        name = request.headers.get(SERIAL_HEADER) or self._request_id(request) or request.path
+        name = self._serial(request) or request.path
         self._num_seen[name] += 1
         draws = self._plan.source(self.worker_id, name, self._num_seen[name])
         if request.headers.get(self._names.expect_instance.lower()) != self.worker_id:
@@ -119,6 +121,10 @@
         else:
             await self._run(request, link, draws)
 
+    def _serial(self, request: Request) -> str:
+        """Return the number of a send; scoring calls have none, and their own ids."""
+        return request.headers.get(SERIAL_HEADER) or self._request_id(request)
+
     def _request_id(self, request: Request) -> str:
         return request.headers.get(self._names.request_id.lower(), "")
 
@@ -134,30 +140,39 @@
         request_id = self._request_id(request) if self._carries_ids else ""
         headers = {self._names.request_id: request_id} if request_id else {}
         other = draws.choice(OTHER_STATUSES.get(status, (200,)))
-        async with link.turn:
-            await link.send(format_answer(status, headers, body, draws.random() < CHUNKED_SHARE))
-        if surplus := self._plan.surplus(draws):
+        first = format_answer(status, headers, body, draws.random() < CHUNKED_SHARE)
+
+        def second(surplus: Surplus) -> bytes:
             other_status = other if surplus.has_other_status else status
-            kept = headers if surplus.has_id else {}
-            data = format_answer(other_status, kept, body, surplus.is_chunked)
-            self._write_later(link, surplus, data, request.path)
+            return format_answer(other_status, headers if surplus.has_id else {}, body, surplus.is_chunked)
 
-    def _write_later(self, link: Link, surplus: Surplus, data: bytes, what: str) -> None:
-        """Write a second answer on the connection of the first, between other answers."""
+        async with link.turn:
+            await self._end(link, self._plan.surplus(draws), first, second, request.path)
 
-        async def write() -> None:
-            await anyio.sleep(surplus.delay_s)
-            try:
-                async with link.turn:
-                    await link.send(data)
-                    self._record.surpluses[what] += 1
-            except CONNECTION_ERRORS:
-                return
+    async def _end(
+        self, link: Link, surplus: Surplus | None, last: bytes, second: Callable[[Surplus], bytes], what: str
+    ) -> None:
+        """Write the last bytes of an answer, and a second answer with them or later."""
+        if surplus is None:
+            await link.send(last)
+        elif surplus.delay_s == 0:
+            await link.send(last + second(surplus))
+            self._record.surpluses[what] += 1
+        else:
+            await link.send(last)
+            link.tasks.start_soon(self._write_later, link, surplus.delay_s, second(surplus), what)
 
-        link.tasks.start_soon(write)
+    async def _write_later(self, link: Link, delay_s: float, data: bytes, what: str) -> None:
+        await anyio.sleep(delay_s)
+        try:
+            async with link.turn:
+                await link.send(data)
+                self._record.surpluses[what] += 1
+        except CONNECTION_ERRORS:
+            return
 
     async def _run(self, request: Request, link: Link, draws: random.Random) -> None:
-        serial, kind = request.headers.get(SERIAL_HEADER, ""), self._kind_of(request)
+        serial, kind = self._serial(request), self._kind_of(request)
         draw, service_s = draws.random(), draws.uniform(*SERVICE_S)
         status = 503 if draw < REJECTED_SHARE else 500 if draw < REJECTED_SHARE + FAILED_SHARE else 200
         if self._num_running >= NUM_SLOTS:
@@ -189,30 +204,39 @@
         self, link: Link, draws: random.Random, request: Request, status: int, stamp: str, body: bytes
     ) -> None:
         """Answer a live request, perhaps twice; the second answer's body tells that it is not the first."""
-        request_id, serial = self._request_id(request), request.headers.get(SERIAL_HEADER, "")
-        headers = self._own_headers(request_id, status, stamp)
-        stamp_seen = headers.get(self._names.stamp, "")
-        self._record.answers_made[serial].append(WorkerAnswer(status, stamp_seen, body))
-        other = draws.choice(OTHER_STATUSES.get(status, (200,)))
+        headers = self._own_headers(self._request_id(request), status, stamp)
+        seen = WorkerAnswer(status, headers.get(self._names.stamp, ""), body)
+        self._record.answers_made[self._serial(request)].append(seen)
+        first = format_answer(status, headers, body, draws.random() < CHUNKED_SHARE)
         async with link.turn:
-            await link.send(format_answer(status, headers, body, draws.random() < CHUNKED_SHARE))
-        if surplus := self._plan.surplus(draws):
-            data = self._surplus_of(surplus, request_id, status, other, stamp, body)
-            self._write_later(link, surplus, data, "requests")
-
-    def _surplus_of(
-        self, surplus: Surplus, request_id: str, status: int, other: int, stamp: str, body: bytes
-    ) -> bytes:
-        kept_id = request_id if surplus.has_id else ""
-        if surplus.has_other_status:
-            status, body = other, b"second answer: " + body
-        return format_answer(status, self._own_headers(kept_id, status, stamp), body, surplus.is_chunked)
+            await self._end_twice(link, draws, request, first, status, stamp, body)
+
+    async def _end_twice(
+        self,
+        link: Link,
+        draws: random.Random,
+        request: Request,
+        last: bytes,
+        status: int,
+        stamp: str,
+        body: bytes,
+    ) -> None:
+        """Write the last bytes of an answer with the given status and body, and perhaps a second answer."""
+        request_id, other = self._request_id(request), draws.choice(OTHER_STATUSES.get(status, (200,)))
+
+        def second(surplus: Surplus) -> bytes:
+            number, data = (other, b"second answer: " + body) if surplus.has_other_status else (status, body)
+            headers = self._own_headers(request_id if surplus.has_id else "", number, stamp)
+            return format_answer(number, headers, data, surplus.is_chunked)
+
+        await self._end(link, self._plan.surplus(draws), last, second, f"{self.service} {status}")
 
     async def _stream(
         self, link: Link, draws: random.Random, request: Request, serial: str, stamp: str
     ) -> None:
-        request_id = self._request_id(request)
-        headers = self._own_headers(request_id, 200, stamp) | {"Content-Type": "text/event-stream"}
+        headers = self._own_headers(self._request_id(request), 200, stamp) | {
+            "Content-Type": "text/event-stream"
+        }
         events = [stream_event(serial, number) for number in range(1, NUM_STREAM_EVENTS + 1)]
         self._record.answers_made[serial].append(WorkerAnswer(200, stamp, b"".join(events)))
         async with link.turn:
@@ -220,11 +244,7 @@
             for event in events:
                 await anyio.sleep(STREAM_EVENT_S)
                 await link.send(format_chunk(event))
-            await link.send(CHUNK_END)
-        if surplus := self._plan.surplus(draws):
-            other = draws.choice(OTHER_STATUSES[200])
-            data = self._surplus_of(surplus, request_id, 200, other, stamp, b"".join(events))
-            self._write_later(link, surplus, data, "streams")
+            await self._end_twice(link, draws, request, CHUNK_END, 200, stamp, b"".join(events))
 
 
 class ModelWorker(Worker):
@@ -278,11 +298,9 @@
         is_rejected = draws.random() < ITEM_REJECTED_SHARE
         if is_rejected or self._is_loading or self._num_running >= NUM_SLOTS:
             headers = self._own_headers(item_id, 503, "")
+            first = format_answer(503, headers, b"", draws.random() < CHUNKED_SHARE)
             async with link.turn:
-                await link.send(format_answer(503, headers, b"", draws.random() < CHUNKED_SHARE))
-            if surplus := self._plan.surplus(draws):
-                data = self._surplus_of(surplus, item_id, 503, 200, f"{self.worker_id}.{item_id}", b"")
-                self._write_later(link, surplus, data, "rejections")
+                await self._end_twice(link, draws, request, first, 503, self.worker_id, b"")
             return
         run = ItemRun(item_id, self.worker_id, self._record.now_s())
         self._record.item_runs.append(run)
@@ -300,6 +318,7 @@
         headers |= {"Content-Type": "text/event-stream", self._names.versions: str(version)}
         first = int(request.headers.get("last-event-id", "0")) + 1
         sent = b""
+        await anyio.sleep(draws.uniform(*PROMPT_S))
         async with link.turn:
             await link.send(format_head(200, {**headers, "Transfer-Encoding": "chunked"}))
             for number, data in enumerate(item_text(item_id), start=1):
@@ -312,9 +331,4 @@
                 event = f"{line}id: {number}\ndata: {data}\n\n".encode()
                 sent += event
                 await link.send(format_chunk(event))
-            await link.send(CHUNK_END)
-        if surplus := self._plan.surplus(draws):
-            other = draws.choice(OTHER_STATUSES[200])
-            self._write_later(
-                link, surplus, self._surplus_of(surplus, item_id, 200, other, stamp, sent), "items"
-            )
+            await self._end_twice(link, draws, request, CHUNK_END, 200, stamp, sent)
