--- a/src/worksramp_emulator/soak/callers.py
+++ b/src/worksramp_emulator/soak/callers.py
@@ -26,7 +26,7 @@
 #: Time after the deadline for which a caller waits.
 PATIENCE_S = 1.0
 RETURN_PAUSE_S = 0.2
-NUM_ITEMS = 12
+NUM_ITEMS = 8
 READ_EVERY_S = 0.25
 
 
--- a/src/worksramp_emulator/soak/checks.py
+++ b/src/worksramp_emulator/soak/checks.py
@@ -161,6 +161,7 @@
         num_lost_once: requests that must not be repeated and ended with 502.
         num_lost_repeatable: other requests that ended with 502.
         num_closed: requests whose connection ended before a whole answer.
+        num_items_again: runs of items beyond the first run of each.
         num_items_twice: items run twice at once.
         num_connections: connections that the workers accepted.
     """
@@ -172,6 +173,7 @@
     num_lost_repeatable: int
     num_closed: int
     num_items: int
+    num_items_again: int
     num_items_twice: int
     num_connections: int
     statuses: tuple[tuple[int, int], ...]
@@ -183,7 +185,8 @@
         return (
             f"{self.num_requests} | {sum(number for _, number in self.surpluses)} | {self.num_foreign} | "
             f"{self.num_lost_once} of {self.num_once} | {self.num_lost_repeatable} of {num_repeatable} | "
-            f"{self.num_closed} | {self.num_items_twice} of {self.num_items} | {self.num_connections}"
+            f"{self.num_closed} | {self.num_items_again} of {self.num_items} | {self.num_items_twice} | "
+            f"{self.num_connections}"
         )
 
 
@@ -199,7 +202,8 @@
         num_lost_once=num_lost_once,
         num_lost_repeatable=num_lost - num_lost_once,
         num_closed=sum(not answer.is_whole for answer in record.answers),
-        num_items=len({run.item_id for run in record.item_runs}),
+        num_items=(num_items := len({run.item_id for run in record.item_runs})),
+        num_items_again=len(record.item_runs) - num_items,
         num_items_twice=len({first.item_id for first, _ in overlaps(record)}),
         num_connections=num_connections,
         statuses=tuple(sorted(Counter(answer.status for answer in record.answers).items())),
--- a/src/worksramp_emulator/soak/runner.py
+++ b/src/worksramp_emulator/soak/runner.py
@@ -20,7 +20,7 @@
 from worksramp_emulator.soak.workers import FIRST_VERSION, ModelWorker, Worker, WorkerSite
 
 NUM_WORKERS = 3
-NUM_SUBMITTERS = 5
+NUM_SUBMITTERS = 4
 NEW_VERSION_EVERY_S = 4.0
 #: Time after the load within which the last batches are read to their end.
 DRAIN_S = 15.0
