--- a/src/worksramp_emulator/soak/checks.py
+++ b/src/worksramp_emulator/soak/checks.py
@@ -158,6 +158,9 @@
     """Figures of a soak.
 
     Attributes:
+        num_once: requests that must not be repeated.
+        num_foreign: requests answered with what no worker made for them.
+        num_once_twice: requests that must not be repeated and ran more than once.
         num_lost_once: requests that must not be repeated and ended with 502.
         num_lost_repeatable: other requests that ended with 502.
         num_closed: requests whose connection ended before a whole answer.
@@ -169,6 +172,7 @@
     num_requests: int
     num_once: int
     num_foreign: int
+    num_once_twice: int
     num_lost_once: int
     num_lost_repeatable: int
     num_closed: int
@@ -184,6 +188,7 @@
         num_repeatable = self.num_requests - self.num_once
         return (
             f"{self.num_requests} | {sum(number for _, number in self.surpluses)} | {self.num_foreign} | "
+            f"{self.num_once_twice} | "
             f"{self.num_lost_once} of {self.num_once} | {self.num_lost_repeatable} of {num_repeatable} | "
             f"{self.num_closed} | {self.num_items_again} of {self.num_items} | {self.num_items_twice} | "
             f"{self.num_connections}"
@@ -199,6 +204,7 @@
         num_requests=len(record.answers),
         num_once=len(once),
         num_foreign=sum(is_foreign(record, answer) for answer in record.answers),
+        num_once_twice=sum(record.num_runs[answer.serial] > 1 for answer in once),
         num_lost_once=num_lost_once,
         num_lost_repeatable=num_lost - num_lost_once,
         num_closed=sum(not answer.is_whole for answer in record.answers),
