Soak: nodes listen below the ports of outgoing connections

A run did not start: a node was given the port of another node's metrics, since each free port was drawn and released on its own (node-2: cannot listen at 127.0.0.1:32835: Address already in use). All are now held until the last is drawn, and lie where no outgoing connection takes them while a node is down.

--- a/src/worksramp_emulator/soak/nodes.py
+++ b/src/worksramp_emulator/soak/nodes.py
@@ -1,10 +1,12 @@
 """Processes of nodes: their settings, starts, ends and signals."""
 
+import contextlib
 import os
 import signal
 import socket
 import subprocess
 import sys
+from dataclasses import asdict, dataclass
 from pathlib import Path
 
 import anyio
@@ -22,6 +24,10 @@
 #: Longest time from the start of a process to its own handling of signals.
 START_S = 2.0
 STOP_TIMEOUT_S = 12.0
+#: Below the range from which the kernel draws the ports of outgoing connections, which would take those of a
+#: node while it is down.
+FIRST_PORT, END_PORT = 15_000, 32_000
+PORTS_PER_RUN = 16
 SETTINGS = """
 node_id = "{name}"
 zone = "z"
@@ -34,21 +40,51 @@
 """
 
 
-def free_address() -> str:
-    """Return a free ``ip:port`` of the loopback interface."""
-    with socket.socket() as listener:
-        listener.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{listener.getsockname()[1]}"
+@dataclass(frozen=True, slots=True)
+class NodeAddresses:
+    """Addresses at which a node listens."""
+
+    front: str
+    ready: str
+    metrics: str
+
+
+def free_addresses(num_nodes: int) -> list[NodeAddresses]:
+    """Return addresses of the loopback interface for nodes, which may start at them again and again."""
+    ports, sockets = list[int](), list[socket.socket]()
+    first = os.getpid() * PORTS_PER_RUN
+    candidates = (
+        FIRST_PORT + (first + idx) % (END_PORT - FIRST_PORT) for idx in range(END_PORT - FIRST_PORT)
+    )
+    try:
+        while len(ports) < num_nodes * len(NodeAddresses.__slots__):
+            port = next(candidates)
+            sockets.append(listener := socket.socket())
+            with contextlib.suppress(OSError):
+                listener.bind(("127.0.0.1", port))
+                ports.append(port)
+    finally:
+        for listener in sockets:
+            listener.close()
+    addresses = iter([f"127.0.0.1:{port}" for port in ports])
+    return [NodeAddresses(next(addresses), next(addresses), next(addresses)) for _ in range(num_nodes)]
 
 
 class NodeProcess:
     """A node in a process of its own, which is started again each time it ends."""
 
     def __init__(
-        self, number: int, words: Words, root: Path, folder: Path, store_address: str, record: Record
+        self,
+        name: str,
+        addresses: NodeAddresses,
+        words: Words,
+        root: Path,
+        folder: Path,
+        store_address: str,
+        record: Record,
     ) -> None:
-        self.name = f"node-{number}"
-        self.front, self.ready, self.metrics = free_address(), free_address(), free_address()
+        self.name = name
+        self.addresses = addresses
         self._words = words
         self._root = root
         self._log_file = folder / f"{self.name}.log"
@@ -58,8 +94,8 @@
         self._started_s = 0.0
         self._signals: set[signal.Signals] = set()
         self._is_over = False
-        addresses = {"front": self.front, "ready": self.ready, "metrics": self.metrics}
-        self._settings_file.write_text(SETTINGS.format(name=self.name, store=store_address, **addresses))
+        settings = SETTINGS.format(name=name, store=store_address, **asdict(addresses))
+        self._settings_file.write_text(settings)
 
     async def run(self) -> None:
         """Start the process, and start it again each time it ends, until `stop`."""
@@ -106,8 +142,8 @@
                 await anyio.sleep(READY_POLL_S)
 
     async def _is_ready(self) -> bool:
-        connection = CallerConnection(self.ready)
-        headers = {"Host": self.ready}
+        connection = CallerConnection(self.addresses.ready)
+        headers = {"Host": self.addresses.ready}
         answer = await connection.exchange("GET", self._words.paths.ready, headers, b"", False, READY_CALL_S)
         await connection.close()
         return answer is not None and answer.status == 200
--- a/src/worksramp_emulator/soak/runner.py
+++ b/src/worksramp_emulator/soak/runner.py
@@ -12,7 +12,7 @@
 from worksramp_emulator.shared_log import LogStore
 from worksramp_emulator.soak.callers import Client, Submitter, Surroundings
 from worksramp_emulator.soak.checks import Figures, figures, violations
-from worksramp_emulator.soak.nodes import NodeProcess
+from worksramp_emulator.soak.nodes import NodeProcess, free_addresses
 from worksramp_emulator.soak.plan import NUM_CLIENTS, NUM_NODES, NodeSignal, Plan
 from worksramp_emulator.soak.record import Record
 from worksramp_emulator.soak.store import StoreServer
@@ -95,8 +95,16 @@
             worker.publish()
         store_address = self._store.server.address
         self._nodes = [
-            NodeProcess(number, self._words, self._root, self._folder, store_address, self._record)
-            for number in range(NUM_NODES)
+            NodeProcess(
+                f"node-{number}",
+                addresses,
+                self._words,
+                self._root,
+                self._folder,
+                store_address,
+                self._record,
+            )
+            for number, addresses in enumerate(free_addresses(NUM_NODES))
         ]
         for node in self._nodes:
             self._group.start_soon(node.run)
@@ -107,7 +115,7 @@
         """Send requests and batches until the time is up, then wait for the last answers."""
         self._record.started_s = anyio.current_time()
         around = Surroundings(
-            self._words, self._plan, self._record, tuple(node.front for node in self._nodes)
+            self._words, self._plan, self._record, tuple(node.addresses.front for node in self._nodes)
         )
         with anyio.move_on_after(self._plan.length_s + DRAIN_S):
             async with anyio.create_task_group() as group:
