Start times: an id counts on after its entry has gone

What callers would have seen: all workers of a platform with start times crash, five entries of another writer without one stay, and the first worker that returns is refused as the odd one, while requests go to the others. Evidence: test_workers_with_start_times_are_used_again_after_all_of_them_crashed failed on the code before (1 failed, 20 passed), now 21 passed.

--- a/src/worksramp/edge/worker_entries.py
+++ b/src/worksramp/edge/worker_entries.py
@@ -55,8 +55,8 @@
         elif isinstance(event, WorkerGone):
             self._apply_gone(event.worker_id)
         else:
+            self._held_back.pop(event.key, None)
             self._refuse(event)
-            self._forget_start(event.key)
         self.on_change()
 
     async def drop_missing(self) -> None:
@@ -68,7 +68,7 @@
             for worker_id in self.directory.missing_since(anyio.current_time()):
                 logger.info("worker_dropped", worker=worker_id)
                 self.directory.remove(worker_id)
-                self._forget_start(worker_id)
+                self._held_back.pop(worker_id, None)
                 self.on_change()
 
     def _apply_seen(self, entry: WorkerEntry) -> None:
@@ -131,11 +131,6 @@
             UnreadableRecord(entry.worker_id, f"{reason}, unlike other entries", RecordFault.BAD_VALUE)
         )
 
-    def _forget_start(self, worker_id: str) -> None:
-        self._held_back.pop(worker_id, None)
-        self._starts.remove(worker_id)
-        self._apply_start_times()
-
     def _apply_gone(self, worker_id: str) -> None:
         """Remove a worker, or keep it for a while if its entry expired because of an outage of the store.
 
@@ -148,8 +143,8 @@
         if was_outage and self.directory.get(worker_id) is not None:
             self.directory.mark_missing(worker_id, anyio.current_time())
             return
+        self._held_back.pop(worker_id, None)
         self.directory.remove(worker_id)
-        self._forget_start(worker_id)
         if not was_outage:
             self.quarantine.handle_worker_gone(worker_id)
 
--- a/tests/unit/test_worker_starts.py
+++ b/tests/unit/test_worker_starts.py
@@ -178,6 +178,22 @@
     assert len(directory.usable("fleet")) == 5
 
 
+# Entries of crashed workers go, those of another writer stay: a returning worker was taken for the odd one.
+def test_workers_with_start_times_are_used_again_after_all_of_them_crashed() -> None:
+    directory, seen = WorkerDirectory(), list[RecordFault]()
+    entries = entries_of(directory, seen)
+    workers = [WorkerEntry(f"w{n}", "fleet", "w:1", "z", 6, started_ms=FIRST_MS) for n in range(1, 4)]
+    for worker in workers:
+        entries.apply(WorkerSeen(worker))
+    for number in range(1, 6):
+        entries.apply(seen_without_start(f"odd-{number}"))
+    for worker in workers:
+        entries.apply(WorkerGone(worker.worker_id))
+    assert not directory.usable("fleet")
+    entries.apply(WorkerSeen(workers[0]))
+    assert [state.entry.worker_id for state in directory.usable("fleet")] == ["w1"]
+
+
 def test_an_entry_of_an_earlier_start_removes_the_worker() -> None:
     directory, seen = WorkerDirectory(), list[RecordFault]()
     entries = entries_of(directory, seen)
