Connections to workers: none is used that its worker is about to close

What callers may meet: a request sent as the worker closes the idle connection is lost (502 where it must not be repeated). Now one that has been idle for the stated time less 0.5 s, or for the pool's 12 s, is closed before a connection is chosen.

--- a/src/worksramp/connections/connection.py
+++ b/src/worksramp/connections/connection.py
@@ -1,5 +1,7 @@
 """One connection to a worker, which carries one call at a time and each id once."""
 
+import math
+import re
 import select
 from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass
@@ -16,6 +18,7 @@
     AnswerReader,
     Call,
     DataNeeded,
+    HeaderPairs,
     ReaderEvent,
     SurplusAnswer,
 )
@@ -25,6 +28,9 @@
 #: Ids that a connection remembers. It is replaced after that many calls, which bounds its memory.
 MAX_CALLS_PER_CONNECTION = 1000
 MAX_LOGGED_ID_CHARACTERS = 64
+KEEP_ALIVE_TIMEOUT = re.compile(rb"\btimeout=(\d{1,6})\b")
+#: A call must reach the worker before it closes the connection.
+KEEP_ALIVE_MARGIN_S = 0.5
 #: An answer to one of these has no body whatever its head says, so no other answer may be read in its place.
 METHODS_WITHOUT_BODY = frozenset(["HEAD", "CONNECT"])
 
@@ -69,7 +75,8 @@
         self._carried: set[int] = set()
         self._has_failed = False
         self._is_last_call = False
-        self.idle_since = self._opened_at
+        self._idle_since = self._opened_at
+        self._stated_idle_s = math.inf
 
     @property
     def label(self) -> str:
@@ -81,6 +88,18 @@
         """Whether the connection may be used for another call."""
         return not self._has_failed and not self._is_last_call and self._reader.may_carry_another
 
+    def begin_idle(self) -> None:
+        """Record that the connection carries no call from now on."""
+        self._idle_since = anyio.current_time()
+
+    def has_expired(self, idle_s: float) -> bool:
+        """Return whether the connection has been idle for too long.
+
+        Args:
+            idle_s: how long the pool keeps idle connections, if the worker has not stated a shorter time.
+        """
+        return anyio.current_time() - self._idle_since > min(idle_s, self._stated_idle_s)
+
     def may_carry(self, call: Call) -> bool:
         """Return whether the answer to this call could be told from all other answers on the connection."""
         if not self._carried:
@@ -111,6 +130,7 @@
             if isinstance(event, AnswerHead):
                 # A second answer without an id could not be told from an answer to a later call.
                 self._is_last_call = self._is_last_call or not event.is_named
+                self._stated_idle_s = _stated_idle_s(event.headers)
                 return event
             if isinstance(event, SurplusAnswer):
                 self._record_surplus(event, call)
@@ -210,5 +230,14 @@
         )
 
 
+def _stated_idle_s(headers: HeaderPairs) -> float:
+    """Return after which time without a call the worker may close the connection."""
+    for name, value in headers:
+        found = KEEP_ALIVE_TIMEOUT.search(value) if name.lower() == b"keep-alive" else None
+        if found is not None:
+            return int(found[1]) - KEEP_ALIVE_MARGIN_S
+    return math.inf
+
+
 def _loggable(call_id: bytes) -> str:
     return call_id.decode("latin-1")[:MAX_LOGGED_ID_CHARACTERS]
--- a/src/worksramp/connections/pool.py
+++ b/src/worksramp/connections/pool.py
@@ -133,6 +133,7 @@
 
     async def _connection_for(self, call: Call) -> WorkerConnection:
         """Return an idle connection that may carry the call, or a new one."""
+        await self._close_expired()
         while (connection := self._take_idle(call)) is not None:
             is_usable = False
             try:
@@ -174,17 +175,19 @@
         return stream
 
     async def _release(self, connection: WorkerConnection) -> None:
-        """Keep a connection for another call if it may carry one, and close those that rested too long."""
+        """Keep a connection for another call if it may carry one."""
         connection.finish()
-        now = anyio.current_time()
-        expired = [idle for idle in self._idle if now - idle.idle_since > self._limits.idle_s]
-        self._idle = [idle for idle in self._idle if idle not in expired]
         if connection.may_carry_another and not self._is_closed:
-            connection.idle_since = now
+            connection.begin_idle()
             self._idle.append(connection)
         else:
-            expired.append(connection)
-        await _close(expired)
+            await _close([connection])
+
+    async def _close_expired(self) -> None:
+        expired = [idle for idle in self._idle if idle.has_expired(self._limits.idle_s)]
+        if expired:
+            self._idle = [idle for idle in self._idle if idle not in expired]
+            await _close(expired)
 
 
 async def _close(connections: list[WorkerConnection]) -> None:
--- a/tests/unit/test_connection_pool.py
+++ b/tests/unit/test_connection_pool.py
@@ -5,6 +5,7 @@
 import anyio
 import anyio.abc
 import pytest
+import trio.testing
 
 from worksramp.connections.answers import Call
 from worksramp.connections.errors import CallError, NoConnectionError
@@ -18,6 +19,7 @@
 
     def __init__(self) -> None:
         self.is_silent = False
+        self.headers = b""
         self.num_open = 0
         self.max_open = 0
 
@@ -35,7 +37,9 @@
 
     async def send(self, item: bytes) -> None:
         name = item.partition(b"x-id: ")[2].partition(b"\r\n")[0]
-        self._answers.append(b"HTTP/1.1 200 OK\r\nx-id: " + name + b"\r\ncontent-length: 0\r\n\r\n")
+        self._answers.append(
+            b"HTTP/1.1 200 OK\r\nx-id: %s\r\n%scontent-length: 0\r\n\r\n" % (name, self._worker.headers)
+        )
 
     async def receive(self, max_bytes: int = 65536) -> bytes:
         if self._worker.is_silent:
@@ -142,3 +146,30 @@
         assert worker.num_open == 0
 
     anyio.run(main)
+
+
+@pytest.mark.parametrize(
+    ("headers", "idle_s", "connection"),
+    [
+        (b"", 9.0, "1/2"),
+        (b"", 10.5, "2/1"),
+        (b"Keep-Alive: timeout=5\r\n", 4.0, "1/2"),
+        (b"keep-alive: max=3, timeout=5\r\n", 4.8, "2/1"),
+        (b"Keep-Alive: timeout=99\r\n", 10.5, "2/1"),
+    ],
+)
+def test_a_connection_that_its_worker_is_about_to_close_carries_no_call(
+    headers: bytes, idle_s: float, connection: str
+) -> None:
+    worker = FakeWorker()
+    worker.headers = headers
+
+    async def main() -> str:
+        pool = pool_of(worker)
+        await ask(pool, b"a")
+        await anyio.sleep(idle_s)
+        return await ask(pool, b"b")
+
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    assert anyio.run(main, backend="trio", backend_options={"clock": clock}) == connection
+    assert worker.num_open == 1
