--- /dev/null
+++ b/tests/platform/test_calls_that_cannot_be_written.py
@@ -0,0 +1,25 @@
+"""A request that HTTP cannot hold: nothing of it is sent, and no worker is blamed for it."""
+
+import anyio
+import pytest
+from worksramp_platform.workers import PlatformWorkers
+
+from tests.platform.stuttering_worker import stuttering_worker
+from worksramp.rollout.batch_run import RunBroken, RunOutcome, RunSpec, TextBuilder, run_item
+from worksramp.rollout.batches import BatchItem
+
+
+@pytest.mark.parametrize(("item_id", "target"), [("a ", "/x"), ("a", "/x y"), ("a\nb", "/x"), ("a", "/é")])
+def test_an_item_that_cannot_be_written_is_not_taken_for_a_lost_connection(item_id: str, target: str) -> None:
+    # Such an item would be sent again and again, each time as a failure of its worker.
+    async def main() -> RunOutcome:
+        async with stuttering_worker() as worker:
+            item = BatchItem(item_id=item_id, target=target, headers=(), body=b"p", num_tokens=10)
+            spec = RunSpec(item, "h", min_version=0, needs_one_version=False)
+            text = TextBuilder()
+            outcome = await run_item(PlatformWorkers(), worker.entry, spec, text, lambda: None)
+            assert not worker.runs
+            return outcome
+
+    outcome = anyio.run(main)
+    assert not (isinstance(outcome, RunBroken) and outcome.is_connection_lost), outcome
