--- a/src/worksramp/connections/connection.py
+++ b/src/worksramp/connections/connection.py
@@ -28,6 +28,8 @@
 #: Ids that a connection remembers. It is replaced after that many calls, which bounds its memory.
 MAX_CALLS_PER_CONNECTION = 1000
 MAX_LOGGED_ID_CHARACTERS = 64
+#: A call of this size is taken by the kernel whole, whatever the worker reads.
+MAX_UNREAD_CALL_B = 16 * 1024
 KEEP_ALIVE_TIMEOUT = re.compile(rb"\btimeout=(\d{1,6})\b")
 #: A call must reach the worker before it closes the connection.
 KEEP_ALIVE_MARGIN_S = 0.5
@@ -100,13 +102,17 @@
         """
         return anyio.current_time() - self._idle_since > min(idle_s, self._stated_idle_s)
 
+    def has_carried(self, call: Call) -> bool:
+        """Return whether a call with this id has been sent on the connection."""
+        return hash(call.call_id) in self._carried
+
     def may_carry(self, call: Call) -> bool:
         """Return whether the answer to this call could be told from all other answers on the connection."""
         if not self._carried:
             return True
         if call.may_be_unnamed or call.method in METHODS_WITHOUT_BODY:
             return False
-        return hash(call.call_id) not in self._carried
+        return not self.has_carried(call)
 
     async def send(self, call: Call) -> AnswerHead:
         """Send a call and return the head of its answer, skipping the answers to other calls.
@@ -119,12 +125,40 @@
             call.method in METHODS_WITHOUT_BODY or len(self._carried) >= MAX_CALLS_PER_CONNECTION
         )
         try:
-            await self._stream.send(self._reader.begin(call))
+            data = self._reader.begin(call)
         except AnswerError as error:
             raise CallError(str(error)) from error
+        if len(data) <= MAX_UNREAD_CALL_B:
+            await self._write(data)
+            return await self._read_head(call)
+        return await self._write_and_read_head(call, data)
+
+    async def _write(self, data: bytes) -> None:
+        try:
+            await self._stream.send(data)
         except (anyio.BrokenResourceError, anyio.ClosedResourceError):
             # A worker may answer and close before it has read a long call.
             self._has_failed = True
+
+    async def _write_and_read_head(self, call: Call, data: bytes) -> AnswerHead:
+        """Read while the call is being written, since a worker may answer before it has read all.
+
+        The whole call is written all the same: the worker may read on later, and nothing else may follow.
+        """
+        head: AnswerHead | None = None
+        reason = CallError("no answer")
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._write, data)
+            try:
+                head = await self._read_head(call)
+            except CallError as error:
+                reason = error
+                group.cancel_scope.cancel()
+        if head is None:
+            raise reason
+        return head
+
+    async def _read_head(self, call: Call) -> AnswerHead:
         while True:
             event = await self._next_event()
             if isinstance(event, AnswerHead):
--- a/src/worksramp/connections/errors.py
+++ b/src/worksramp/connections/errors.py
@@ -5,6 +5,10 @@
     """A call got no complete response; the peer may have executed it."""
 
 
+class CallTimeoutError(CallError):
+    """No complete response came in time."""
+
+
 class NoConnectionError(CallError):
     """No connection could be opened, so nothing was sent.
 
--- a/src/worksramp/connections/pool.py
+++ b/src/worksramp/connections/pool.py
@@ -12,9 +12,6 @@
 from worksramp.connections.connection import ConnectionName, WorkerConnection
 from worksramp.connections.errors import NoConnectionError, was_refused
 
-#: Idle connections that are kept although a call could use none of them.
-MAX_UNUSABLE_IDLE = 8
-
 Connect = Callable[[str], Awaitable[anyio.abc.ByteStream]]
 
 
@@ -95,6 +92,7 @@
         self._idle: list[WorkerConnection] = []
         self._slots = anyio.Semaphore(limits.max_connections, fast_acquire=True)
         self._num_opened = 0
+        self._num_open = 0
         self._is_closed = False
 
     @asynccontextmanager
@@ -122,8 +120,13 @@
     async def aclose(self) -> None:
         """Close the connections that carry no call, and each other one after its call."""
         self._is_closed = True
+        await self.close_idle()
+
+    async def close_idle(self) -> bool:
+        """Close the connections that carry no call; return whether there were any."""
         idle, self._idle = self._idle, []
-        await _close(idle)
+        await self._close(idle)
+        return bool(idle)
 
     async def _wait_for_slot(self) -> None:
         with anyio.move_on_after(self._limits.connect_timeout_s) as waiting:
@@ -140,15 +143,21 @@
                 is_usable = await connection.settle()
             finally:
                 if not is_usable:
-                    await _close([connection])
+                    await self._close([connection])
             if is_usable:
                 return connection
-        if len(self._idle) >= MAX_UNUSABLE_IDLE:
-            # None of them may carry this call. One that is sent again and again must not collect connections,
-            # of which a worker takes few.
-            await _close([self._idle.pop(0)])
+        await self._make_room(call)
         return await self._open()
 
+    async def _make_room(self, call: Call) -> None:
+        """Close an idle connection where one more would be too many; a worker takes few."""
+        # A call that is sent again and again must not collect connections. Other calls that need a connection
+        # of their own close it themselves.
+        is_sent_again = any(idle.has_carried(call) for idle in self._idle)
+        is_at_limit = self._num_open >= self._limits.max_connections
+        if self._idle and (is_sent_again or is_at_limit):
+            await self._close([self._idle.pop(0)])
+
     def _take_idle(self, call: Call) -> WorkerConnection | None:
         # The connection used last is the least likely to be closed by the worker meanwhile.
         for index in range(len(self._idle) - 1, -1, -1):
@@ -163,6 +172,7 @@
         except (OSError, TimeoutError) as error:
             raise NoConnectionError(f"{type(error).__name__}: {error}", was_refused(error)) from error
         self._num_opened += 1
+        self._num_open += 1
         self._counters.num_opened += 1
         name = ConnectionName(self._address, self._num_opened)
         return WorkerConnection(stream, name, self._id_header, self._counters.add_surplus)
@@ -181,20 +191,20 @@
             connection.begin_idle()
             self._idle.append(connection)
         else:
-            await _close([connection])
+            await self._close([connection])
 
     async def _close_expired(self) -> None:
         expired = [idle for idle in self._idle if idle.has_expired(self._limits.idle_s)]
         if expired:
             self._idle = [idle for idle in self._idle if idle not in expired]
-            await _close(expired)
-
-
-async def _close(connections: list[WorkerConnection]) -> None:
-    """Close connections, also when the caller has been cancelled."""
-    with anyio.CancelScope(shield=True):
-        for connection in connections:
-            await connection.aclose()
+            await self._close(expired)
+
+    async def _close(self, connections: list[WorkerConnection]) -> None:
+        """Close connections, also when the caller has been cancelled."""
+        self._num_open -= len(connections)
+        with anyio.CancelScope(shield=True):
+            for connection in connections:
+                await connection.aclose()
 
 
 def _answer(head: AnswerHead, connection: WorkerConnection) -> Answer:
--- a/tests/unit/test_connection_limits.py
+++ b/tests/unit/test_connection_limits.py
@@ -7,9 +7,10 @@
 import anyio.abc
 
 from tests.unit.test_connection_pool import LIMITS, FakeStream, FakeWorker, ask, call
-from worksramp.connections.pool import MAX_UNUSABLE_IDLE, ConnectionPool, PoolCounters, PoolLimits
+from worksramp.connections.pool import ConnectionPool, PoolCounters, PoolLimits
 
-NUM_BUSY = MAX_UNUSABLE_IDLE + 4
+NUM_BUSY = 12
+NUM_REPEATS = 16
 
 
 class UnnamedWorker(FakeWorker):
@@ -55,7 +56,7 @@
     counters = PoolCounters()
 
     async def main() -> int:
-        pool = pool_of(UnnamedWorker(), replace(LIMITS, max_connections=NUM_BUSY), counters)
+        pool = pool_of(UnnamedWorker(), replace(LIMITS, max_connections=NUM_BUSY + 1), counters)
         await use_at_once(pool, "a")
         for number in range(NUM_BUSY):
             name = f"report-{number}".encode()
@@ -74,7 +75,7 @@
 
     async def main() -> None:
         pool = pool_of(worker, LIMITS, PoolCounters())
-        for _ in range(2 * MAX_UNUSABLE_IDLE):
+        for _ in range(NUM_REPEATS):
             await ask(pool, b"a")
 
     anyio.run(main)
--- a/tests/unit/test_connection_pool.py
+++ b/tests/unit/test_connection_pool.py
@@ -9,9 +9,10 @@
 
 from worksramp.connections.answers import Call
 from worksramp.connections.errors import CallError, NoConnectionError
-from worksramp.connections.pool import MAX_UNUSABLE_IDLE, ConnectionPool, PoolCounters, PoolLimits
+from worksramp.connections.pool import ConnectionPool, PoolCounters, PoolLimits
 
 LIMITS = PoolLimits(max_connections=3, connect_timeout_s=0.05, idle_s=10.0, send_timeout_ms=1000)
+NUM_REPEATS = 40
 
 
 class FakeWorker:
@@ -84,12 +85,12 @@
 
     async def main() -> None:
         pool = pool_of(worker)
-        for _ in range(5 * MAX_UNUSABLE_IDLE):
+        for _ in range(NUM_REPEATS):
             await ask(pool, b"a")
         await pool.aclose()
 
     anyio.run(main)
-    assert worker.max_open <= MAX_UNUSABLE_IDLE
+    assert worker.max_open == 1
     assert worker.num_open == 0
 
 
--- a/tests/unit/test_odd_answers_of_workers.py
+++ b/tests/unit/test_odd_answers_of_workers.py
@@ -13,7 +13,7 @@
 from tests.unit.test_answer_reader import call as reader_call
 from tests.unit.test_connection_pool import LIMITS, FakeStream, FakeWorker, ask, call, pool_of
 from worksramp.connections.answers import AnswerError, AnswerReader, SurplusAnswer
-from worksramp.connections.pool import MAX_UNUSABLE_IDLE, ConnectionPool, PoolCounters
+from worksramp.connections.pool import ConnectionPool, PoolCounters
 
 ODD_SURPLUSES = {
     "no_content": answer(b"a", status=204),
@@ -157,5 +157,5 @@
 
     anyio.run(main)
     assert worker.num_open == 0
-    assert worker.max_open <= LIMITS.max_connections + MAX_UNUSABLE_IDLE
+    assert worker.max_open <= LIMITS.max_connections
     assert all(len(set(ids)) == len(ids) for ids in worker.ids)
