--- a/src/worksramp/connections/connection.py
+++ b/src/worksramp/connections/connection.py
@@ -22,7 +22,7 @@
     ReaderEvent,
     SurplusAnswer,
 )
-from worksramp.connections.errors import CallError
+from worksramp.connections.errors import CallError, UnsendableCallError
 
 READ_SIZE_B = 256 * 1024
 #: Ids that a connection remembers. It is replaced after that many calls, which bounds its memory.
@@ -118,6 +118,7 @@
         """Send a call and return the head of its answer, skipping the answers to other calls.
 
         Raises:
+            UnsendableCallError: the call cannot be written; nothing was sent.
             CallError: there is no answer; the call may have been executed.
         """
         self._carried.add(hash(call.call_id))
@@ -127,7 +128,7 @@
         try:
             data = self._reader.begin(call)
         except AnswerError as error:
-            raise CallError(str(error)) from error
+            raise UnsendableCallError(str(error)) from error
         if len(data) <= MAX_UNREAD_CALL_B:
             await self._write(data)
             return await self._read_head(call)
--- a/src/worksramp/connections/errors.py
+++ b/src/worksramp/connections/errors.py
@@ -5,6 +5,10 @@
     """A call got no complete response; the peer may have executed it."""
 
 
+class UnsendableCallError(CallError):
+    """A call cannot be written as HTTP, so nothing was sent."""
+
+
 class CallTimeoutError(CallError):
     """No complete response came in time."""
 
--- a/src/worksramp/rollout/batch_run.py
+++ b/src/worksramp/rollout/batch_run.py
@@ -15,6 +15,7 @@
     WorkerAnswerBrokenError,
     WorkerPort,
     WorkerRequest,
+    WorkerRequestInvalidError,
     WorkerUnreachableError,
 )
 from worksramp.routing.workers import WorkerEntry
@@ -158,7 +159,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RunNeverPossible:
-    """The worker answered that the item can never be run."""
+    """The worker answered that the item can never be run, or no worker can be sent it."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -255,6 +256,8 @@
                 return await reader.read(answer, holding)
     except AnswerTooLargeError as error:
         return RunOverLimit(str(error))
+    except WorkerRequestInvalidError:
+        return RunNeverPossible()
     except WorkerUnreachableError as error:
         return RunNotBegun(f"unreachable: {error}")
     except WorkerAnswerBrokenError as error:
--- a/src/worksramp/rollout/scoring_call.py
+++ b/src/worksramp/rollout/scoring_call.py
@@ -13,6 +13,7 @@
     WorkerAnswerBrokenError,
     WorkerPort,
     WorkerRequest,
+    WorkerRequestInvalidError,
     WorkerUnreachableError,
 )
 from worksramp.routing.workers import WorkerEntry
@@ -69,7 +70,11 @@
 
 @dataclass(frozen=True, slots=True)
 class ScoringImpossible:
-    """The worker reported that the call can never succeed."""
+    """The call can never succeed.
+
+    Attributes:
+        status: what the worker answered, 0 if the call cannot be sent to any worker.
+    """
 
     status: int
 
@@ -119,6 +124,8 @@
         return ScoringAnswer(ScoringLost("deadline"))
     except AnswerTooLargeError as exc:
         return ScoringAnswer(ScoringLost(str(exc)))
+    except WorkerRequestInvalidError:
+        return ScoringAnswer(ScoringImpossible(status=0))
     except WorkerUnreachableError as exc:
         return ScoringAnswer(ScoringNotRun(f"unreachable: {exc}", is_unreachable=True))
     except WorkerAnswerBrokenError as exc:
--- a/src/worksramp/routing/worker_port.py
+++ b/src/worksramp/routing/worker_port.py
@@ -81,6 +81,10 @@
         self.is_refusal = is_refusal
 
 
+class WorkerRequestInvalidError(WorkerUnreachableError):
+    """The request cannot be written as HTTP, so no byte of it can be sent to any worker."""
+
+
 class WorkerAnswerBrokenError(Exception):
     """The answer ended early or did not belong to this request, which may have run."""
 
