An item whose text no worker can continue is begun anew, and not left waiting for good

Callers: on a route that requires one weight version, an item whose workers had crashed was never placed again although workers had room. Cause: a text begun by version v goes to workers of v only. It was discarded only when a worker answered with another version, and once no worker of v was known none was asked. New workers hold the newest version, versions only grow, and while an item waits no home loads early: nothing ends the wait. Fix: before each placement a waiting item's text is discarded if no worker that may get the item has its version and one may begin it anew (rollout/stale_texts.py, pure). While no worker at all may run the item the text is kept: those that return may have its version. It takes the place of the check after a wrong version, which looked at draining workers and other services as well.

--- a/src/worksramp/rollout/item_runner.py
+++ b/src/worksramp/rollout/item_runner.py
@@ -76,6 +76,7 @@
     def start_runs(self, group: anyio.abc.TaskGroup) -> None:
         """Assign waiting items to free slots and start their runs, carried items after all others."""
         now = anyio.current_time()
+        self._items.discard_stale_texts()
         for waiting in (self._items.waiting(), self._items.carried_waiting(now)):
             if not waiting:
                 continue
@@ -216,7 +217,6 @@
     def _handle_wrong_version(self, outcome: RunWrongVersion, work: ItemWork, run: Run, now: float) -> None:
         self._note_version(run.worker_id, work.model, outcome.version)
         work.avoid(run.worker_id, now + AVOID_AFTER_REFUSAL_SECONDS)
-        self._discard_stale_text(work)
 
     @_outcome_handlers.handler(RunError)
     @_outcome_handlers.handler(RunBroken)
@@ -257,12 +257,3 @@
         state = self._context.directory.get(worker_id)
         if state is not None:
             state.versions[model] = version
-
-    def _discard_stale_text(self, work: ItemWork) -> None:
-        """Discard a text that needs one version if no worker has that version any more."""
-        if not work.route.needs_one_version or not work.text.versions:
-            return
-        version = work.text.versions[0]
-        usable = self._context.directory.all_states()
-        if not any(state.versions.get(work.model) == version for state in usable):
-            work.text.clear()
--- a/src/worksramp/rollout/open_items.py
+++ b/src/worksramp/rollout/open_items.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 import anyio
+import structlog
 
 from worksramp.mechanisms import mechanism
 from worksramp.rollout.fair_shares import Party
@@ -12,6 +13,7 @@
 from worksramp.rollout.owner_context import OwnerContext
 from worksramp.rollout.pace import PaceTracker
 from worksramp.rollout.schedule_views import WaitingItem, WorkerView
+from worksramp.rollout.stale_texts import is_stale
 from worksramp.rollout.text_length import TextLengths
 from worksramp.rollout.worker_memory import MemoryShares, RunMemory, is_dropped, is_too_large
 from worksramp.routing.failure_tracker import FailureTracker
@@ -24,6 +26,8 @@
 #: Estimates of texts that are no longer open are kept up to this many more than twice the open items.
 MIN_REMEMBERED_ESTIMATES = 64
 
+logger = structlog.get_logger()
+
 
 @dataclass(slots=True)
 class _Load:
@@ -154,6 +158,33 @@
             num_step_items=max(len(works), *self._step_sizes.get(model, ()), 0),
         )
 
+    def discard_stale_texts(self) -> None:
+        """Discard the texts of waiting items that no worker can continue, so that the items begin anew."""
+        held: dict[tuple[str, str], set[int]] = {}
+        for work in self.waiting():
+            if not work.route.needs_one_version or not work.text.versions:
+                continue
+            service, version = work.route.parts[0].service, work.text.versions[0]
+            if (service, work.model) not in held:
+                held[service, work.model] = self._held_versions(service, work.model)
+            if is_stale(version, work.min_version, held[service, work.model]):
+                logger.info(
+                    "stale_text_discarded",
+                    item_id=work.item.item_id,
+                    batch_id=work.key[0],
+                    version=version,
+                    num_events=len(work.text.pieces),
+                )
+                work.text.clear()
+
+    def _held_versions(self, service: str, model: str) -> set[int]:
+        """Return the versions of a model at the workers of a service that may get runs, now or soon."""
+        return {
+            state.versions.get(model, 0)
+            for state in self._context.directory.usable(service)
+            if self._is_active(state.entry.worker_id)
+        }
+
     def waiting_items(self, works: Iterable[ItemWork], now: float) -> list[WaitingItem]:
         """Return items as scheduler input, without those that must still wait or have no route."""
         table = self._context.table.current
