Records of our own topics that cannot be read are skipped and counted

Seen by callers: one record of the topic of batches that is not of our form (bytes, nesting, a key without a position, lists of unequal length) ends the task that follows it, at all nodes, and again after every restart; an item or kept text that cannot be decoded ends every owner; a listed text that is not UTF-8 gives 500.

Cause: folds decoded records and used them (int of a key, an index, a pair of lists) with errors that went through the task group to the end of the process; msgpack raises RecursionError for some nesting. What a record says twice was not compared.

Now decoding raises DecodeError only, numbers of all records have bounds, and a fold checks a record whole before it changes anything: one offset and size for each item, ids and windows that are those of the key, a position within the batch. Items and texts that cannot be decoded are not available (503), as while the store is away.

--- a/src/worksramp/coordination/log_lease.py
+++ b/src/worksramp/coordination/log_lease.py
@@ -8,10 +8,12 @@
 
 import math
 from dataclasses import dataclass
+from typing import Annotated
 
 import msgspec
 
 from worksramp.coordination.shared_log import Appended, AppendOutcome, NothingDone, OutcomeOpen
+from worksramp.counts import MAX_COUNT, Amount, Count
 
 OWNER_KEY = "owner"
 OWNER_PRODUCER = "owner"
@@ -37,12 +39,12 @@
 
     node: str
     boot: str
-    epoch: int
-    renewal: int = 0
+    epoch: Annotated[int, msgspec.Meta(ge=1, le=MAX_COUNT)]
+    renewal: Count = 0
     is_released: bool = False
-    num_orders: int = 0
+    num_orders: Count = 0
     last_order_node: str = ""
-    last_order_age_s: float = 0.0
+    last_order_age_s: Amount = 0.0
 
     @property
     def is_order_open(self) -> bool:
--- a/src/worksramp/duties/scaling.py
+++ b/src/worksramp/duties/scaling.py
@@ -11,6 +11,7 @@
 
 from worksramp.coordination.keyed_replica import Change
 from worksramp.coordination.shared_log import KeyedRecord
+from worksramp.counts import Count
 from worksramp.duties.port import WorkerCount
 from worksramp.routing.table import ScalingLimits
 from worksramp.wire import decode, encode
@@ -31,7 +32,7 @@
 
     service: str
     zone: str
-    num_workers: int
+    num_workers: Count
 
 
 @dataclass(slots=True)
--- a/src/worksramp/duties/usage.py
+++ b/src/worksramp/duties/usage.py
@@ -13,6 +13,7 @@
 
 from worksramp.coordination.keyed_replica import Change
 from worksramp.coordination.shared_log import KeyedRecord
+from worksramp.counts import Count, parse_count
 from worksramp.wire import decode, encode
 
 REPORT_PREFIX = "u/"
@@ -36,8 +37,8 @@
         is_confirmed: whether the platform has taken it.
     """
 
-    window: int
-    counts: dict[str, int]
+    window: Count
+    counts: dict[str, Count]
     is_confirmed: bool = False
 
 
@@ -123,15 +124,17 @@
         if not change.key.startswith(COUNT_PREFIX):
             return
         window_text, _, reporter = change.key.removeprefix(COUNT_PREFIX).partition("/")
-        if not window_text.isdigit():
+        window = parse_count(window_text)
+        if window is None:
             return
-        by_reporter = self._counts.setdefault(int(window_text), {})
-        if change.value is None:
+        counts = None if change.value is None else decode(change.value, dict[str, Count])
+        by_reporter = self._counts.setdefault(window, {})
+        if counts is None:
             by_reporter.pop(reporter, None)
         else:
-            by_reporter[reporter] = decode(change.value, dict[str, int])
+            by_reporter[reporter] = counts
         if not by_reporter:
-            del self._counts[int(window_text)]
+            del self._counts[window]
 
     def total(self, window: int) -> dict[str, int]:
         """Return the counts of a window by tenant, over all nodes."""
@@ -164,11 +167,16 @@
         """Apply one change and return whether it concerned a report."""
         if not change.key.startswith(REPORT_PREFIX):
             return False
-        window = int(change.key.removeprefix(REPORT_PREFIX))
+        window = parse_count(change.key.removeprefix(REPORT_PREFIX))
+        if window is None:
+            raise msgspec.ValidationError("the key of a report has no window")
         if change.value is None:
             self.by_window.pop(window, None)
-        else:
-            self.by_window[window] = decode(change.value, UsageReport)
+            return True
+        report = decode(change.value, UsageReport)
+        if report.window != window:
+            raise msgspec.ValidationError("window: is not that of the key")
+        self.by_window[window] = report
         return True
 
     @property
--- a/src/worksramp/duties/usage_reporter.py
+++ b/src/worksramp/duties/usage_reporter.py
@@ -6,7 +6,8 @@
 import anyio
 import structlog
 
-from worksramp.coordination.keyed_replica import Change, KeyedReplica
+from worksramp.coordination.keyed_replica import KeyedReplica
+from worksramp.coordination.record_guard import RecordGuard
 from worksramp.coordination.shared_log import KeyedRecord, Partition, SharedLog
 from worksramp.coordination.value_store import append_until_known
 from worksramp.duties.port import DutyDone, DutyOutcome
@@ -61,7 +62,8 @@
     async def run(self) -> None:
         """Fix and send reports until cancelled."""
         first = self.times.window_of(self.wall_time.now_s())
-        replica = KeyedReplica(self.log, self.partition, POLL_S, self._apply_count, GATHER_S)
+        guard = RecordGuard(self.partition, self._tally.apply)
+        replica = KeyedReplica(self.log, self.partition, POLL_S, guard.apply, GATHER_S)
         async with anyio.create_task_group() as group:
             group.start_soon(replica.follow)
             await replica.wait_loaded()
@@ -71,9 +73,6 @@
                 await self._sweep()
                 await anyio.sleep(TICK_S)
 
-    def _apply_count(self, change: Change) -> None:
-        self._tally.apply(change)
-
     def _fix_due(self, first: int, tally_age_s: float, store_recovery_age_s: float) -> None:
         """Put the reports that are due into the shard; they are sent once they are read back."""
         newest = self.reports.newest
--- a/src/worksramp/edge/metrics.py
+++ b/src/worksramp/edge/metrics.py
@@ -25,6 +25,9 @@
         )
         self.requests_denied = self._counter("requests_denied", "Requests without a valid API key", "reason")
         self.entries_refused = self._counter("entries_refused", "Entries that name no worker", "fault")
+        self.records_unreadable = self._counter(
+            "records_unreadable", "Records that could not be read and were skipped", "topic"
+        )
         self.crash_events = self._counter(
             "crash_events", "Broken connections to workers and what was decided on them", "event"
         )
--- a/src/worksramp/edge/node.py
+++ b/src/worksramp/edge/node.py
@@ -369,6 +369,7 @@
             self.named_versions[event.model] = max(event.version, self.named_versions.get(event.model, 0))
             logger.info("version_named", model=event.model, version=event.version)
         elif isinstance(event, UnreadableRecord):
+            self.metrics.records_unreadable.labels(self.records.control.topic).inc()
             logger.error("record_unreadable", key=event.key, reason=event.reason)
         self.shard.wake()
 
--- a/src/worksramp/edge/shard.py
+++ b/src/worksramp/edge/shard.py
@@ -33,6 +33,7 @@
     may_order,
     newer_owner,
 )
+from worksramp.coordination.record_guard import RecordGuard
 from worksramp.coordination.shared_log import Partition, SharedLog
 from worksramp.coordination.value_store import ValueStore
 from worksramp.duties.holder import Duties
@@ -140,7 +141,7 @@
             context.log,
             context.partition,
             context.poll_seconds,
-            self._apply_change,
+            RecordGuard(context.partition, self._apply_change, self._count_skipped).apply,
             self.context.gather_seconds,
             context.clock,
         )
@@ -211,6 +212,9 @@
             await writer.release()
             logger.info("lease_released", epoch=writer.owner.epoch, is_in_log=writer.owner.is_released)
 
+    def _count_skipped(self, topic: str) -> None:
+        self.context.metrics.records_unreadable.labels(topic).inc()
+
     def _apply_change(self, change: Change) -> None:
         if change.key == OWNER_KEY and change.value is not None:
             self._apply_owner_record(decode(change.value, OwnerRecord))
--- a/src/worksramp/rollout/batch_values.py
+++ b/src/worksramp/rollout/batch_values.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from worksramp.coordination.shared_log import KeyedRecord
-from worksramp.coordination.value_store import NotStored, ValueLocation, ValueStore
+from worksramp.coordination.value_store import NotStored, ValueLocation, ValueStore, ValuesUnavailableError
 from worksramp.rollout.batches import Batch, BatchHeader, BatchItem, BatchResult, ResultRecord
 from worksramp.wire import decode, encode
 
@@ -82,7 +82,10 @@
             for index, key in keys.items()
         ]
         found = await self.store.fetch(header.batch_id, locations)
-        return {index: decode(found[key], BatchItem) for index, key in keys.items()}
+        try:
+            return {index: decode(found[key], BatchItem) for index, key in keys.items()}
+        except msgspec.DecodeError as error:
+            raise ValuesUnavailableError("decode", min(keys.values()), str(error)) from error
 
     async def results(self, batch: Batch, positions: Sequence[int]) -> list[BatchResult]:
         """Read results of a batch with their texts, in the order of ``positions``.
@@ -102,9 +105,7 @@
             BatchResult(
                 record.item_id,
                 record.is_completed,
-                b"".join(
-                    found[location.key] for location in _text_locations(batch_id, position, record)
-                ).decode(),
+                _decode_text(found, _text_locations(batch_id, position, record)),
                 record.versions,
                 record.score,
             )
@@ -121,6 +122,13 @@
     return [KeyedRecord(key, b"") for key in keys]
 
 
+def _decode_text(found: dict[str, bytes], locations: list[ValueLocation]) -> str:
+    try:
+        return b"".join(found[location.key] for location in locations).decode()
+    except UnicodeDecodeError as error:
+        raise ValuesUnavailableError("decode", locations[0].key, error.reason) from error
+
+
 def _text_locations(batch_id: str, position: int, record: ResultRecord) -> list[ValueLocation]:
     return [
         ValueLocation(text_key(batch_id, position, record.epoch, part), offset, size_b)
--- a/src/worksramp/rollout/batches.py
+++ b/src/worksramp/rollout/batches.py
@@ -11,6 +11,7 @@
 
 from worksramp.coordination.keyed_replica import Change
 from worksramp.coordination.shared_log import KeyedRecord
+from worksramp.counts import Amount, Count, parse_count
 from worksramp.routing.identity import scoped_id
 from worksramp.wire import decode, encode
 
@@ -33,15 +34,15 @@
     batch_id: str
     host: str
     path: str
-    submitted_at: float
+    submitted_at: Amount
     item_ids: tuple[str, ...]
     groups: tuple[str, ...]
-    step: int | None = None
+    step: Count | None = None
     model: str = ""
-    min_version: int = 0
-    num_wanted_groups: int = 0
-    item_offsets: tuple[int, ...] = ()
-    item_sizes_b: tuple[int, ...] = ()
+    min_version: Count = 0
+    num_wanted_groups: Count = 0
+    item_offsets: tuple[Count, ...] = ()
+    item_sizes_b: tuple[Count, ...] = ()
     tenant: str = ""
 
 
@@ -89,10 +90,10 @@
     target: str
     headers: tuple[tuple[str, str], ...]
     body: bytes
-    num_tokens: int
-    num_expected_tokens: int = 0
+    num_tokens: Count
+    num_expected_tokens: Count = 0
     scoring_call: ScoringCall | None = None
-    num_prompt_tokens: int = 0
+    num_prompt_tokens: Count = 0
 
 
 class GeneratedText(msgspec.Struct, frozen=True, array_like=True):
@@ -111,12 +112,12 @@
 
     pieces: tuple[str, ...] = ()
     last_event_id: str | None = None
-    versions: tuple[int, ...] = ()
-    num_failures: int = 0
+    versions: tuple[Count, ...] = ()
+    num_failures: Count = 0
     is_whole: bool = False
     batch_id: str = ""
     score: Score | None = None
-    num_scoring_failures: int = 0
+    num_scoring_failures: Count = 0
 
 
 class ResultRecord(msgspec.Struct, frozen=True, array_like=True):
@@ -132,10 +133,10 @@
 
     item_id: str
     is_completed: bool
-    versions: tuple[int, ...]
-    epoch: int = 0
-    text_offsets: tuple[int, ...] = ()
-    text_sizes_b: tuple[int, ...] = ()
+    versions: tuple[Count, ...]
+    epoch: Count = 0
+    text_offsets: tuple[Count, ...] = ()
+    text_sizes_b: tuple[Count, ...] = ()
     score: Score | None = None
 
     @property
@@ -213,12 +214,16 @@
     def __init__(self) -> None:
         self.batches: dict[str, Batch] = {}
         self._ended: set[str] = set()
-        self._early_results: dict[str, dict[int, bytes]] = {}
+        self._early_results: dict[str, dict[int, ResultRecord]] = {}
         self._completed: dict[str, tuple[str, int]] = {}
         self.revision = 0
 
     def apply(self, change: Change) -> None:
-        """Apply one change; keys of other kinds are ignored."""
+        """Apply one change; keys of other kinds are ignored.
+
+        Raises:
+            msgspec.DecodeError: the record is not one of a batch; nothing has changed.
+        """
         kind, _, rest = change.key.partition("/")
         self.revision += 1
         batch_id, _, suffix = rest.partition("/")
@@ -227,7 +232,7 @@
         elif kind == "e":
             self._apply_end(batch_id, change.value)
         elif kind == "r":
-            self._apply_result(batch_id, int(suffix), change.value)
+            self._apply_result(batch_id, suffix, change.value)
 
     def find_completed(self, text_id: str) -> tuple[str, int] | None:
         """Return the batch id and position under which an item is listed as completed, or None."""
@@ -240,10 +245,11 @@
             return
         if batch_id in self.batches:
             return
-        batch = Batch(decode(value, BatchHeader), is_ended=batch_id in self._ended)
+        batch = Batch(_decode_header(batch_id, value), is_ended=batch_id in self._ended)
         self.batches[batch_id] = batch
         for position, early in self._early_results.pop(batch_id, {}).items():
-            self._apply_result(batch_id, position, early)
+            if position < len(batch.header.item_ids):
+                self._list(batch, position, early)
 
     def _delete_batch(self, batch_id: str) -> None:
         batch = self.batches.pop(batch_id, None)
@@ -262,19 +268,46 @@
         if batch_id in self.batches:
             self.batches[batch_id].is_ended = True
 
-    def _apply_result(self, batch_id: str, position: int, value: bytes | None) -> None:
+    def _apply_result(self, batch_id: str, position_text: str, value: bytes | None) -> None:
         if value is None:
             return
+        position = parse_count(position_text)
+        if position is None:
+            raise msgspec.ValidationError("the key of a result has no position")
+        result = _decode_result(value)
         batch = self.batches.get(batch_id)
         if batch is None:
             # Pages of newest records are sorted by key, so a result can come before its header.
-            self._early_results.setdefault(batch_id, {})[position] = value
+            self._early_results.setdefault(batch_id, {})[position] = result
             return
-        result = decode(value, ResultRecord)
+        if position >= len(batch.header.item_ids):
+            raise msgspec.ValidationError("the position in the key is beyond the items")
+        self._list(batch, position, result)
+
+    def _list(self, batch: Batch, position: int, result: ResultRecord) -> None:
         batch.results[position] = result
         batch.listed.add(result.item_id)
         if result.is_completed:
-            self._completed[scoped_id(batch.header.tenant, result.item_id)] = (batch_id, position)
+            text_id = scoped_id(batch.header.tenant, result.item_id)
+            self._completed[text_id] = (batch.header.batch_id, position)
+
+
+def _decode_header(batch_id: str, value: bytes) -> BatchHeader:
+    header = decode(value, BatchHeader)
+    if header.batch_id != batch_id:
+        raise msgspec.ValidationError("batch_id: is not that of the key")
+    num_items = len(header.item_ids)
+    for name in ("groups", "item_offsets", "item_sizes_b"):
+        if len(getattr(header, name)) != num_items:
+            raise msgspec.ValidationError(f"{name}: has not one value for each of {num_items} items")
+    return header
+
+
+def _decode_result(value: bytes) -> ResultRecord:
+    result = decode(value, ResultRecord)
+    if len(result.text_offsets) != len(result.text_sizes_b):
+        raise msgspec.ValidationError("text_sizes_b: has not one value for each of text_offsets")
+    return result
 
 
 def record_of_header(header: BatchHeader) -> KeyedRecord:
--- a/src/worksramp/rollout/text_keeper.py
+++ b/src/worksramp/rollout/text_keeper.py
@@ -7,6 +7,7 @@
 from collections import OrderedDict
 
 import anyio
+import msgspec
 import structlog
 
 from worksramp.coordination.shared_log import KeyedRecord
@@ -59,7 +60,9 @@
             except ValuesUnavailableError as error:
                 logger.warning("texts_not_read", reason=str(error))
             await anyio.sleep(LOAD_RETRY_SECONDS)
-        self._from_former_owners = {key.removeprefix(KEY_PREFIX): value for key, value in values.items()}
+        self._from_former_owners = {
+            key.removeprefix(KEY_PREFIX): value for key, value in values.items() if key.startswith(KEY_PREFIX)
+        }
         self._stored = set(self._from_former_owners)
 
     @mechanism("kept_texts", without=lambda keeper, text_id: None)
@@ -68,7 +71,12 @@
         ended_text = self._of_ended_batches.get(text_id)
         if ended_text is not None or text_id not in self._from_former_owners:
             return ended_text
-        return decode(self._from_former_owners[text_id], GeneratedText)
+        try:
+            return decode(self._from_former_owners[text_id], GeneratedText)
+        except msgspec.DecodeError as error:
+            logger.error("record_unreadable", key=KEY_PREFIX + text_id, reason=str(error))
+            self.discard(text_id)
+            return None
 
     def keep_for_later_batch(self, work: ItemWork) -> None:
         """Keep the text of an item whose batch has ended; a later batch may contain the item again."""
--- a/src/worksramp/routing/crash_ledger.py
+++ b/src/worksramp/routing/crash_ledger.py
@@ -102,7 +102,11 @@
         if fingerprint is None:
             return
         if change.value is not None:
-            self.add(decode(change.value, CrashRecord), now)
+            record = decode(change.value, CrashRecord)
+            if record.key != change.key:
+                # Its deletion would find no record.
+                raise msgspec.ValidationError("the key is not that of the crash")
+            self.add(record, now)
         else:
             self._remove(fingerprint, change.key)
 
--- a/src/worksramp/wire.py
+++ b/src/worksramp/wire.py
@@ -24,4 +24,9 @@
     Raises:
         msgspec.DecodeError: the bytes are damaged or those of another type.
     """
-    return msgspec.msgpack.decode(data, type=struct_type)
+    try:
+        return msgspec.msgpack.decode(data, type=struct_type)
+    except RecursionError as error:
+        raise msgspec.DecodeError("nested too deeply") from error
+    except UnicodeDecodeError as error:
+        raise msgspec.DecodeError(f"not UTF-8: {error.reason}") from error
--- a/tests/platform/test_odd_records.py
+++ b/tests/platform/test_odd_records.py
@@ -12,6 +12,8 @@
 
 import anyio
 import anyio.abc
+import msgspec
+import pytest
 from worksramp_platform.documents import StoreRecords
 from worksramp_platform.workers import PlatformWorkers
 
@@ -22,6 +24,9 @@
 from worksramp.edge.ports import UnreadableRecord
 from worksramp.edge.settings import EdgeSettings, StoreSettings
 from worksramp.logs import configure_logs
+from worksramp.rollout.batch_service import NotSure
+from worksramp.rollout.batches import BatchHeader, ResultRecord
+from worksramp.wire import encode
 from worksramp_emulator.shared_log import LogClient, LogStore
 
 RECORDS = StoreRecords()
@@ -216,3 +221,117 @@
         ("version/m", body(model="m", version=3)),
         lambda node: node.named_versions == {"m": 3},
     )
+
+
+def header(batch_id: str, **changes: Any) -> bytes:
+    good = BatchHeader(
+        batch_id, "shop.example", "/drafts/x", 1.0, ("i1",), ("",), item_offsets=(0,), item_sizes_b=(9,)
+    )
+    return encode(msgspec.structs.replace(good, **changes))
+
+
+DEEP = b"\x91" * 100_000
+ODD_BATCHES = [
+    ("b/x1", b"\xff"),
+    ("b/x2", header("x2", item_offsets=())),
+    ("b/x3", header("x3", groups=())),
+    ("b/x4", header("x4", submitted_at=float("nan"))),
+    ("b/x5", header("other")),
+    ("b/x6", b"\xdc\x00\x20" + DEEP),
+    ("b/x7", header("x7", min_version=2**64 - 1)),
+    ("r/x8/0", b"\xff"),
+    ("b/x8", header("x8")),
+    ("r/x8/abc", b"\x90"),
+    ("r/x8/\u00b2", b"\x90"),
+    ("r/x8", b"\x90"),
+    ("r/x8/" + "9" * 200, b"\x90"),
+    ("e/x8", b"\xff"),
+    ("crash", b"\x00"),
+    ("crash/f/c/n", b"\xff"),
+    ("u/x", b"\x90"),
+    ("z/a/b", b"\xff"),
+    ("", DEEP),
+    ("x" * 255, b"\x00"),
+    ("\\xff\\xfe", b"\xff"),
+]
+
+
+def knows(batch_id: str) -> Callable[[EdgeNode], bool]:
+    return lambda node: batch_id in node.shard.ledger.batches
+
+
+# The error of one record ended the task that follows the batches, at all nodes and after every restart.
+def test_odd_records_of_batches_are_skipped_and_counted() -> None:
+    def is_followed(node: EdgeNode) -> bool:
+        labels = {"topic": RECORDS.batches.topic}
+        num_skipped = node.metrics.registry.get_sample_value("worksramp_records_unreadable_total", labels)
+        return knows("good")(node) and bool(num_skipped)
+
+    follows_and_restarts_among(RECORDS.batches, ODD_BATCHES, ("b/good", header("good")), is_followed)
+
+
+# The items of a batch and the texts of former owners are read by the owner, not followed.
+@pytest.mark.parametrize("value", [b"\xff", DEEP, b"\x90", b"\xc0"], ids=["bytes", "deep", "empty", "none"])
+def test_odd_items_and_texts_end_no_owner(value: bytes) -> None:
+    batch = ("b/x", header("x"))
+    texts = [("p/i1", value), ("", value), ("x" * 255, value), ("q/i1", value)]
+
+    async def main() -> None:
+        async with machines() as deployment:
+            deployment.put(RECORDS.progress, texts)
+            deployment.put(RECORDS.values[0], [("i/x/000000", value), ("", value)])
+            deployment.put(RECORDS.workers, [("w-1", entry())])
+            for _ in range(2):
+                async with deployment.owner() as node:
+                    deployment.put(RECORDS.batches, [batch, ("b/good", header("good"))])
+                    await until(lambda: knows("good")(node))
+                    await anyio.sleep(TASKS_BEGIN_S)
+                    item = await node.batches.item("x", "i1")
+                    assert isinstance(item, NotSure)
+
+    anyio.run(main)
+
+
+# A text that was listed stands in a value that a caller's read decodes.
+def test_a_listed_text_that_is_not_utf8_is_no_answer() -> None:
+    result = encode(ResultRecord("i1", True, (1,), 1, (1,), (2,)))
+
+    async def main() -> None:
+        async with machines() as deployment, deployment.owner() as node:
+            deployment.put(RECORDS.values[0], [("i/x/000000", b"\xff"), ("t/x/000000/1/0000", b"\xff\xfe")])
+            deployment.put(RECORDS.batches, [("b/x", header("x")), ("r/x/0", result)])
+            await until(lambda: knows("x")(node))
+            assert isinstance(await node.batches.read("x", 0, 0.0), NotSure)
+
+    anyio.run(main)
+
+
+ODD_OWNER_FIELDS: list[list[Any]] = [
+    [0],
+    [-5],
+    [2**63],
+    [1, 0, False, 3, "x", float("nan")],
+    [1, 0, False, 3, "x", float("inf")],
+]
+ODD_OWNERS = [
+    b"\xff",
+    b"\x90",
+    DEEP,
+    *(msgspec.msgpack.encode(["other", "boot", *fields]) for fields in ODD_OWNER_FIELDS),
+]
+
+
+# A record of the owner that cannot be read ended the owner, and each node that followed it.
+def test_odd_records_of_an_owner_change_no_owner() -> None:
+    async def main() -> None:
+        async with machines() as deployment, deployment.owner() as node:
+            before = node.shard.owner_record
+            assert before is not None
+            deployment.put(RECORDS.batches, [("owner", value) for value in ODD_OWNERS])
+            deployment.put(RECORDS.batches, [("b/good", header("good"))])
+            await until(lambda: knows("good")(node))
+            record = node.shard.owner_record
+            assert record is not None and (record.node, record.epoch) == (before.node, before.epoch)
+            assert node.shard.is_owner
+
+    anyio.run(main)
