Very many odd entries at once hold up no other task, and their log lines are bounded

Seen by callers: with thousands of odd entries written at once, a node answers nothing until all of an answer's records are applied: 1.1 s for 10,000 of them, and an answer of 1 MB may hold eight times as many. Each of their writes had a log line, since the list of logged faults dropped its oldest entry for each new one.

The reader lets other tasks run after each 128 records. They see no other states than between two answers, since the store cuts its answers by size; the position moves on behind the last record, as before. A full list of faults keeps what it has, says so once, and the others are counted.

--- a/src/worksramp/coordination/keyed_replica.py
+++ b/src/worksramp/coordination/keyed_replica.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 
 import anyio
+import anyio.lowlevel
 import structlog
 
 from worksramp.coordination.elapsed import ElapsedClock, monotonic_s
@@ -29,6 +30,9 @@
 #: Pause after an answer with records while a caller waits for a change, instead of the longer usual one.
 SHORT_GATHER_S = 0.02
 
+#: Records that are applied before other tasks run. An answer of 1 MB may hold tens of thousands.
+RECORDS_PER_TURN = 128
+
 #: With many nodes, their reads together may exceed what the store allows. Each refused read lengthens the
 #: pauses after answers with records by this factor, up to the maximum, and each answer shortens them again.
 THROTTLED_FACTOR = 1.5
@@ -223,8 +227,10 @@
             return True
         # Done before the changes are applied, since their meaning may depend on whether an outage just ended.
         self._set_reachable(True, "")
-        for record in answer.records:
+        for number, record in enumerate(answer.records, 1):
             self._apply(record)
+            if number % RECORDS_PER_TURN == 0:
+                await anyio.lowlevel.checkpoint()
         if answer.records:
             self.position = max(self.position, answer.records[-1].offset + 1)
         # An answer that ends earlier comes from a copy of the store that lags behind this one.
--- a/src/worksramp/edge/worker_entries.py
+++ b/src/worksramp/edge/worker_entries.py
@@ -17,7 +17,8 @@
 #: According to the users, workers write their expired entries again within this time after an outage of the
 #: store. Workers whose entries are still missing then are gone.
 REWRITE_GRACE_S = 2.0
-#: Refused entries whose last fault is kept, so that each fault is logged once and not at each write.
+#: Refused entries whose fault is logged, once and not at each write. Further ones are only counted, until
+#: one of these is used again or is gone.
 MAX_LOGGED_FAULTS = 256
 
 logger = structlog.get_logger()
@@ -43,6 +44,7 @@
     on_change: Callable[[], None]
     is_loaded: Callable[[], bool] = lambda: True
     _logged_faults: dict[str, RecordFault] = field(default_factory=dict)
+    _is_log_full: bool = False
     #: Entries that are refused only for stating a start time, or stating none.
     _held_back: dict[str, WorkerEntry] = field(default_factory=dict)
     _starts: StartTimes = field(default_factory=StartTimes)
@@ -159,7 +161,11 @@
         self.directory.remove(event.key)
         if self._logged_faults.get(event.key) is event.fault:
             return
-        if len(self._logged_faults) >= MAX_LOGGED_FAULTS:
-            self._logged_faults.pop(next(iter(self._logged_faults)))
+        if len(self._logged_faults) >= MAX_LOGGED_FAULTS and event.key not in self._logged_faults:
+            if not self._is_log_full:
+                logger.warning("entries_refused_unlogged", num_logged=len(self._logged_faults))
+            self._is_log_full = True
+            return
+        self._is_log_full = False
         self._logged_faults[event.key] = event.fault
         logger.warning("entry_refused", worker=event.key, fault=event.fault.value, reason=event.reason)
--- a/tests/platform/test_odd_records.py
+++ b/tests/platform/test_odd_records.py
@@ -12,6 +12,7 @@
 
 import anyio
 import anyio.abc
+import anyio.lowlevel
 import msgspec
 import pytest
 from worksramp_platform.documents import StoreRecords
@@ -335,3 +336,24 @@
             assert node.shard.is_owner
 
     anyio.run(main)
+
+
+# Thousands of records came in one answer; nothing else ran until all of them were applied.
+def test_other_work_goes_on_while_very_many_entries_are_read() -> None:
+    num_turns_within_reads = 0
+
+    async def main() -> None:
+        nonlocal num_turns_within_reads
+        async with machines() as deployment, deployment.owner() as node:
+            deployment.put(RECORDS.workers, [(f"odd-{number}", b"{") for number in range(5000)])
+            deployment.put(RECORDS.workers, [("w-1", entry())])
+            while not node.directory.is_usable("w-1"):
+                labels = {"fault": "malformed"}
+                num_refused = node.metrics.registry.get_sample_value(
+                    "worksramp_entries_refused_total", labels
+                )
+                num_turns_within_reads += 0 < (num_refused or 0) < 5000
+                await anyio.lowlevel.checkpoint()
+
+    anyio.run(main)
+    assert num_turns_within_reads >= 10
--- a/tests/unit/test_worker_starts.py
+++ b/tests/unit/test_worker_starts.py
@@ -6,7 +6,7 @@
 import pytest
 
 from worksramp.edge.ports import RecordFault, UnreadableRecord, WorkerGone, WorkerSeen
-from worksramp.edge.worker_entries import WorkerEntries
+from worksramp.edge.worker_entries import MAX_LOGGED_FAULTS, WorkerEntries
 from worksramp.logs import configure_logs
 from worksramp.routing.quarantine import Quarantine
 from worksramp.routing.worker_starts import RestartDetector
@@ -113,6 +113,22 @@
     assert directory.is_usable("w1")
 
 
+# Each write of one of many odd entries had a log line of its own.
+def test_the_log_lines_about_very_many_odd_entries_are_bounded() -> None:
+    directory, seen = WorkerDirectory(), list[RecordFault]()
+    entries = entries_of(directory, seen)
+    with mock.patch("worksramp.edge.worker_entries.logger") as logger:
+        for _ in range(2):
+            for number in range(5000):
+                entries.apply(UnreadableRecord(f"odd-{number}", "nested too deeply"))
+    assert len(seen) == 10_000
+    assert logger.warning.call_count <= MAX_LOGGED_FAULTS + 1
+    entries.apply(WorkerSeen(WorkerEntry("odd-1", "fleet", "w1:1", "z", 6)))
+    with mock.patch("worksramp.edge.worker_entries.logger") as logger:
+        entries.apply(UnreadableRecord("odd-1", "nested too deeply"))
+    logger.warning.assert_called_once()
+
+
 def seen_without_start(name: str) -> WorkerSeen:
     return WorkerSeen(WorkerEntry(name, "fleet", f"{name}:1", "z", 6))
 
