A shard whose newest owner's record is odd gets an owner again

Seen by callers: all processes start (or the one that knew the owner ended) while the newest record of the owner can't be read. They are ready and take batches, and none of these runs: each process takes the shard for one without an owner, claims epoch 1 as often as it can, and the store refuses it for good, since it has seen a higher epoch.

Cause: the epoch to claim came from one record alone. What the store's refusal says, that there is a higher one, was dropped.

Now a claim that is refused for its epoch, while the log as read names no owner of that epoch, stands for an owner that nobody knows: claims wait as they do for a known owner, their epoch doubles, and the first order waits as after one that was sent just now. The next owner's record that can be read takes its place. LeaseClaim, which test_lease_orders checks state by state, is unchanged.

--- a/src/worksramp/coordination/log_lease.py
+++ b/src/worksramp/coordination/log_lease.py
@@ -166,6 +166,18 @@
     return 1 if newest is None else newest.epoch + 1
 
 
+def unknown_owner(refused_epoch: int) -> OwnerRecord:
+    """Return a record in place of one that cannot be read, after the store has refused a claim because of it.
+
+    The owner may live and may have sent an order just now, so a claim waits as it does for a known owner. Its
+    epoch may be far higher, and doubling it reaches that in a few claims.
+
+    Args:
+        refused_epoch: epoch of the claim that was refused.
+    """
+    return OwnerRecord(node="", boot="", epoch=2 * refused_epoch, num_orders=1)
+
+
 def newer_owner(before: OwnerRecord | None, record: OwnerRecord) -> OwnerRecord:
     """Return the record that names the owner after ``record`` has been read.
 
--- a/src/worksramp/edge/shard.py
+++ b/src/worksramp/edge/shard.py
@@ -32,9 +32,21 @@
     latest_order_at,
     may_order,
     newer_owner,
+    unknown_owner,
 )
 from worksramp.coordination.record_guard import RecordGuard
-from worksramp.coordination.shared_log import Partition, SharedLog
+from worksramp.coordination.shared_log import (
+    AppendOutcome,
+    Fence,
+    FencedOff,
+    KeyedRecord,
+    NewestPage,
+    OutOfSequence,
+    Partition,
+    RecordsGone,
+    RecordsRead,
+    SharedLog,
+)
 from worksramp.coordination.value_store import ValueStore
 from worksramp.duties.holder import Duties
 from worksramp.edge.metrics import NodeMetrics
@@ -130,6 +142,8 @@
     owner_record: OwnerRecord | None = None
     owner_changed_at: float = float("-inf")
     former_order_at: float = float("-inf")
+    #: Stands for the newest owner's record while the log has none that can be read.
+    _unknown_owner: OwnerRecord | None = None
     _owner: BatchOwner | None = None
     _writer: FencedWriter | None = None
     _is_stopping: bool = False
@@ -234,13 +248,19 @@
             self.former_order_at = max(self.former_order_at, order_at)
             logger.info("owner_record_ignored", epoch=record.epoch, owner=record.node)
             return
+        self._unknown_owner = None
         if record.boot != self.context.boot:
             self.former_order_at = latest_order_at(record, self.context.node, now)
         self.owner_record = record
         self.owner_changed_at = now
 
+    @property
+    def _claimed_from(self) -> OwnerRecord | None:
+        """Record of the owner that a claim replaces."""
+        return self._unknown_owner or self.owner_record
+
     def _lease_view(self) -> LeaseView:
-        owner = self.owner_record
+        owner = self._claimed_from
         return LeaseView(
             owner=owner,
             is_own_machine=owner is not None and owner.node == self.context.node,
@@ -253,12 +273,13 @@
 
     async def _claim_and_run(self, epoch: int) -> None:
         claimed_at = anyio.current_time()
-        if self.owner_record is not None and self.owner_record.is_order_open:
+        before = self._claimed_from
+        if before is not None and before.is_order_open:
             # The former owner announced this order and wrote nothing after it: it may be given even now.
-            self.former_order_at = latest_order_at(self.owner_record, self.context.node, claimed_at)
+            self.former_order_at = latest_order_at(before, self.context.node, claimed_at)
         record = self._claim_record(epoch, claimed_at)
         owner_silence_s = claimed_at - self.owner_changed_at
-        former = self.owner_record.node if self.owner_record else ""
+        former = before.node if before is not None else ""
         claimed = await self._claim(record)
         logger.info(
             "lease_claimed",
@@ -273,7 +294,7 @@
 
     def _claim_record(self, epoch: int, now: float) -> OwnerRecord:
         """Return the record of a claim, which passes on what is recorded of the last order."""
-        before = self.owner_record
+        before = self._claimed_from
         record = OwnerRecord(self.context.node, self.context.boot, epoch)
         if before is None:
             return record
@@ -292,7 +313,14 @@
         assert self.replica.position is not None
         claim = LeaseClaim(record, self.replica.position, first_sequence_of(record.boot))
         context = self.context
-        return await claim_lease(context.log, context.partition, claim, self._read_owner, context.clock)
+        log = _ClaimLog(context.log)
+        claimed = await claim_lease(log, context.partition, claim, self._read_owner, context.clock)
+        is_explained = self.owner_record is not None and self.owner_record.epoch >= record.epoch
+        if isinstance(claimed, ClaimLost) and log.is_refused and not is_explained:
+            logger.warning("owner_unknown", refused_epoch=record.epoch)
+            self._unknown_owner = unknown_owner(record.epoch)
+            self.owner_changed_at = anyio.current_time()
+        return claimed
 
     async def _read_owner(self, end: int | None) -> OwnerRecord | None:
         """Read the log up to ``end``, None for its present end, and return the newest owner's record.
@@ -373,3 +401,34 @@
             fence=epoch,
             max_loading=context.max_loading,
         )
+
+
+class _ClaimLog(SharedLog):
+    """Log of one claim, which remembers whether the store has refused it for its epoch."""
+
+    def __init__(self, log: SharedLog) -> None:
+        super().__init__(log.limits)
+        self._log = log
+        self.is_refused = False
+
+    async def append(
+        self,
+        partition: Partition,
+        records: tuple[KeyedRecord, ...],
+        fence: Fence | None = None,
+        expected_end: int | None = None,
+    ) -> AppendOutcome:
+        """Append all records or none; see `SharedLog.append`."""
+        outcome = await self._log.append(partition, records, fence, expected_end)
+        self.is_refused = self.is_refused or isinstance(outcome, FencedOff | OutOfSequence)
+        return outcome
+
+    async def read(
+        self, partition: Partition, start: int, wait_seconds: float, max_bytes: int | None = None
+    ) -> RecordsRead | RecordsGone:
+        """Read records from an offset on; see `SharedLog.read`."""
+        return await self._log.read(partition, start, wait_seconds, max_bytes)
+
+    async def newest(self, partition: Partition, after: str | None) -> NewestPage:
+        """Read one page of the newest record of each key; see `SharedLog.newest`."""
+        return await self._log.newest(partition, after)
--- a/tests/platform/test_odd_records.py
+++ b/tests/platform/test_odd_records.py
@@ -20,7 +20,7 @@
 
 from tests.platform.test_callers import CONFIGURATION
 from worksramp.coordination.keyed_replica import Change
-from worksramp.coordination.shared_log import KeyedRecord, Partition
+from worksramp.coordination.shared_log import Fence, KeyedRecord, Partition
 from worksramp.edge.node import EdgeNode
 from worksramp.edge.ports import UnreadableRecord
 from worksramp.edge.settings import EdgeSettings, StoreSettings
@@ -338,6 +338,23 @@
     anyio.run(main)
 
 
+# Every process claimed the first epoch, which the store refused for good, so the batches had no owner.
+@pytest.mark.parametrize(
+    "value", [b"\xff", msgspec.msgpack.encode(["n", "b", -5])], ids=["bytes", "negative"]
+)
+def test_processes_that_start_with_an_odd_record_of_the_owner_find_an_owner(value: bytes) -> None:
+    async def main() -> None:
+        async with machines() as deployment:
+            owned = Fence("owner", 2, 7)
+            deployment.store.do_append(RECORDS.batches, (KeyedRecord("owner", value),), owned, None)
+            async with deployment.owner() as node:
+                assert node.shard.epoch > 2
+                # The owner that nobody knows may have sent an order just before.
+                assert not node.shard.may_order()
+
+    anyio.run(main)
+
+
 # Thousands of records came in one answer; nothing else ran until all of them were applied.
 def test_other_work_goes_on_while_very_many_entries_are_read() -> None:
     num_turns_within_reads = 0
