--- a/src/worksramp/coordination/log_lease.py
+++ b/src/worksramp/coordination/log_lease.py
@@ -8,10 +8,12 @@
 
 import math
 from dataclasses import dataclass
+from typing import Annotated
 
 import msgspec
 
 from worksramp.coordination.shared_log import Appended, AppendOutcome, NothingDone, OutcomeOpen
+from worksramp.counts import MAX_COUNT, Amount, Count
 
 OWNER_KEY = "owner"
 OWNER_PRODUCER = "owner"
@@ -37,12 +39,12 @@
 
     node: str
     boot: str
-    epoch: int
-    renewal: int = 0
+    epoch: Annotated[int, msgspec.Meta(ge=1, le=MAX_COUNT)]
+    renewal: Count = 0
     is_released: bool = False
-    num_orders: int = 0
+    num_orders: Count = 0
     last_order_node: str = ""
-    last_order_age_s: float = 0.0
+    last_order_age_s: Amount = 0.0
 
     @property
     def is_order_open(self) -> bool:
@@ -164,6 +166,18 @@
     return 1 if newest is None else newest.epoch + 1
 
 
+def unknown_owner(refused_epoch: int) -> OwnerRecord:
+    """Return a record in place of one that cannot be read, after the store has refused a claim because of it.
+
+    The owner may live and may have sent an order just now, so a claim waits as it does for a known owner. Its
+    epoch may be far higher, and doubling it reaches that in a few claims.
+
+    Args:
+        refused_epoch: epoch of the claim that was refused.
+    """
+    return OwnerRecord(node="", boot="", epoch=2 * refused_epoch, num_orders=1)
+
+
 def newer_owner(before: OwnerRecord | None, record: OwnerRecord) -> OwnerRecord:
     """Return the record that names the owner after ``record`` has been read.
 
