Soak: time in which the stand-ins' process did not run is no time at work

A watch now notes when the process does not run; that time is taken off an overlap, and the longest is printed with the figures. The bound of 0.4 s stays.

--- a/src/worksramp_emulator/soak/checks.py
+++ b/src/worksramp_emulator/soak/checks.py
@@ -104,11 +104,17 @@
     return [
         (first, second)
         for first, second in pairs
-        if min(first.ended_s, second.ended_s) - second.began_s > OVERLAP_S
+        if _overlap_s(record, first, second) > OVERLAP_S
         and not any(since <= second.began_s <= until + SIGNAL_SETTLE_S for since, until in record.pauses)
     ]
 
 
+def _overlap_s(record: Record, first: ItemRun, second: ItemRun) -> float:
+    """Return for how long workers were at work on both; one that did not run saw no closed connection."""
+    until = min(first.ended_s, second.ended_s)
+    return until - second.began_s - record.stalled_s(second.began_s, until)
+
+
 @check
 def _items_at_one_worker(record: Record) -> Iterator[str]:
     for first, second in overlaps(record):
@@ -167,6 +173,7 @@
         num_items_again: runs of items beyond the first run of each.
         num_items_twice: items run twice at once.
         num_connections: connections that the workers accepted.
+        longest_stall_s: longest time in which the stand-ins did not run.
     """
 
     num_requests: int
@@ -180,6 +187,7 @@
     num_items_again: int
     num_items_twice: int
     num_connections: int
+    longest_stall_s: float
     statuses: tuple[tuple[int, int], ...]
     surpluses: tuple[tuple[str, int], ...]
 
@@ -191,7 +199,7 @@
             f"{self.num_once_twice} | "
             f"{self.num_lost_once} of {self.num_once} | {self.num_lost_repeatable} of {num_repeatable} | "
             f"{self.num_closed} | {self.num_items_again} of {self.num_items} | {self.num_items_twice} | "
-            f"{self.num_connections}"
+            f"{self.num_connections} | {self.longest_stall_s}"
         )
 
 
@@ -212,6 +220,7 @@
         num_items_again=len(record.item_runs) - num_items,
         num_items_twice=len({first.item_id for first, _ in overlaps(record)}),
         num_connections=num_connections,
+        longest_stall_s=round(max((end - begin for begin, end in record.stalls), default=0.0), 3),
         statuses=tuple(sorted(Counter(answer.status for answer in record.answers).items())),
         surpluses=tuple(sorted(record.surpluses.items())),
     )
--- a/src/worksramp_emulator/soak/record.py
+++ b/src/worksramp_emulator/soak/record.py
@@ -95,6 +95,7 @@
         changed: results that were read otherwise before.
         faults: further violations, in words, as they were seen.
         pauses: times of signals to nodes: from, to.
+        stalls: times in which the process of the stand-ins did not run: from, to.
     """
 
     started_s: float = field(default_factory=anyio.current_time)
@@ -108,12 +109,17 @@
     changed: list[str] = field(default_factory=list)
     faults: list[str] = field(default_factory=list)
     pauses: list[tuple[float, float]] = field(default_factory=list)
+    stalls: list[tuple[float, float]] = field(default_factory=list)
     log: list[str] = field(default_factory=list)
 
     def now_s(self) -> float:
         """Return the seconds since the start."""
         return anyio.current_time() - self.started_s
 
+    def stalled_s(self, since: float, until: float) -> float:
+        """Return for how long the stand-ins did not run between two times."""
+        return sum(max(0.0, min(until, end) - max(since, begin)) for begin, end in self.stalls)
+
     def note(self, who: str, what: str) -> None:
         """Add a line to the log of the run."""
         self.log.append(f"{self.now_s():8.3f} {who:<10} {what}")
--- a/src/worksramp_emulator/soak/runner.py
+++ b/src/worksramp_emulator/soak/runner.py
@@ -24,6 +24,9 @@
 NEW_VERSION_EVERY_S = 4.0
 #: Time after the load within which the last batches are read to their end.
 DRAIN_S = 15.0
+STALL_POLL_S = 0.02
+#: Shortest delay of a wake-up that counts as a stall.
+STALL_S = 0.1
 
 
 @dataclass(frozen=True, slots=True)
@@ -114,6 +117,7 @@
     async def load(self) -> None:
         """Send requests and batches until the time is up, then wait for the last answers."""
         self._record.started_s = anyio.current_time()
+        self._group.start_soon(self._watch_stalls)
         around = Surroundings(
             self._words, self._plan, self._record, tuple(node.addresses.front for node in self._nodes)
         )
@@ -140,6 +144,14 @@
             value = {"model": self._words.model, "version": self._version}
             self._store.put(self._words.store.control_topic, f"version/{self._words.model}", value)
 
+    async def _watch_stalls(self) -> None:
+        """Note when this process does not run, for which the nodes are not to blame."""
+        while True:
+            woken_s = self._record.now_s()
+            await anyio.sleep(STALL_POLL_S)
+            if (now_s := self._record.now_s()) - woken_s > STALL_S:
+                self._record.stalls.append((woken_s, now_s))
+
     async def _wait_for_versions(self) -> None:
         """Wait until all workers hold the last version."""
         await anyio.sleep(self._plan.length_s)
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -110,6 +110,19 @@
     assert [text.partition(":")[0] for text in violations(result, [], 1)] == found
 
 
+@pytest.mark.parametrize(
+    ("stalls", "found"), [([], ["TWICE"]), ([(0.35, 0.9)], []), ([(0.0, 0.35)], ["TWICE"])]
+)
+def test_time_in_which_the_workers_did_not_run_is_no_time_at_work(
+    stalls: list[tuple[float, float]], found: list[str]
+) -> None:
+    # A worker that does not run reads neither a request nor the end of its connection.
+    result = batch()
+    result.item_runs.append(ItemRun("i", "w2", 0.3, math.inf, {1}))
+    result.stalls += stalls
+    assert [text.partition(":")[0] for text in violations(result, [], 1)] == found
+
+
 def test_orders_of_two_holders_under_one_fence_are_found() -> None:
     # Two owners that order the same worker are seen by the worker alone.
     result = Record(started_s=0.0)
