Bodies in small chunks: other tasks run between them; 8 MB held in all

Callers would have seen: four workers that send chunks of two bytes without an end keep a node busy without a pause; everything else on it waits, and deadlines are kept late.

Cause: the chunks of one read from a connection are all there at once, and the loops over a body never let another task run until they had used them up.

--- a/src/worksramp/rollout/batch_run.py
+++ b/src/worksramp/rollout/batch_run.py
@@ -299,7 +299,7 @@
         if version is None or not answer.is_signed:
             return RunBroken("unsigned answer or missing weight version")
         async for chunk in answer.body:
-            holding.check()
+            await holding.begin_chunk()
             for event in self.splitter.feed(chunk):
                 if event.is_empty:
                     continue
--- a/src/worksramp/routing/held_bytes.py
+++ b/src/worksramp/routing/held_bytes.py
@@ -10,14 +10,18 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
+import anyio
 import structlog
 
 from worksramp.routing.worker_port import WorkerAnswer, WorkerAnswerBrokenError
 
 MAX_ANSWER_B = 4 * 1024 * 1024
-#: A node takes 40 MB without load and is to take 64 MB at most. The last part of the difference is for the
-#: copies that are made of an answer when it is whole.
-MAX_HELD_B = 16 * 1024 * 1024
+#: A node takes 40 MB without load and is to take 64 MB at most. The other two thirds of the difference are
+#: for the buffers of connections, and for the copy that is made of an answer when it is whole.
+MAX_HELD_B = 8 * 1024 * 1024
+#: Chunks of an answer between two turns of other tasks. Those of one read from a connection are all there at
+#: once, and may have two bytes each.
+CHUNKS_PER_TURN = 32
 
 logger = structlog.get_logger()
 
@@ -56,6 +60,7 @@
         discard: frees the bytes; called when the answer is dropped in favour of others.
         size_b: bytes held now.
         exceeded: limit for which the answer was dropped, None while it is kept.
+        num_chunks: chunks received.
     """
 
     source: AnswerSource
@@ -64,6 +69,18 @@
     owner: "HeldBytes"
     size_b: int = 0
     exceeded: HeldLimit | None = None
+    num_chunks: int = 0
+
+    async def begin_chunk(self) -> None:
+        """Check that the answer has not been dropped, and let other tasks run now and then.
+
+        Raises:
+            AnswerTooLargeError: it has.
+        """
+        self.num_chunks += 1
+        if self.num_chunks % CHUNKS_PER_TURN == 0:
+            await anyio.lowlevel.checkpoint()
+        self.check()
 
     def check(self) -> None:
         """Check that the answer has not been dropped.
@@ -140,6 +157,7 @@
         buffer = bytearray()
         with self.hold(source, buffer.clear) as holding:
             async for chunk in answer.body:
+                await holding.begin_chunk()
                 holding.resize(len(buffer) + len(chunk))
                 buffer += chunk
             holding.check()
@@ -155,6 +173,7 @@
         num_read_b = 0
         with self.hold(source, lambda: None) as holding:
             async for chunk in answer.body:
+                await holding.begin_chunk()
                 num_read_b += len(chunk)
                 if num_read_b > self.max_answer_b:
                     holding.drop(HeldLimit.ANSWER)
--- a/src/worksramp/routing/live_stream.py
+++ b/src/worksramp/routing/live_stream.py
@@ -141,7 +141,7 @@
             reason = "ended inside an event"
             try:
                 async for chunk in answer.body:
-                    holding.check()
+                    await holding.begin_chunk()
                     for event in splitter.feed(chunk):
                         if not event.is_empty:
                             is_id_known = event.event_id is not None
--- a/tests/unit/test_bytes_without_end.py
+++ b/tests/unit/test_bytes_without_end.py
@@ -5,7 +5,7 @@
 import re
 from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import anyio
 import pytest
@@ -17,6 +17,7 @@
 from worksramp.rollout.batch_run import (
     EVENT_OVERHEAD_B,
     MAX_TEXT_B,
+    RunFinished,
     RunOutcome,
     RunOverLimit,
     RunSpec,
@@ -24,7 +25,7 @@
     run_item,
 )
 from worksramp.rollout.batches import BatchItem, GeneratedText, ScoringCall
-from worksramp.rollout.scoring_call import ScoringAnswer, ScoringLost, call_scorer
+from worksramp.rollout.scoring_call import Scored, ScoringAnswer, ScoringLost, call_scorer
 from worksramp.rollout.text_keeper import RecentTexts
 from worksramp.routing import events, held_bytes
 from worksramp.routing.attempts import LiveRequest, WholeAnswer
@@ -369,3 +370,68 @@
         texts.pop(f"small{number}")
     texts.pop("unknown")
     assert texts.size_b == 0
+
+
+NUM_SMALL_CHUNKS = 3200
+
+
+@dataclass
+class CrumblingPort(ScriptedPort):
+    """Sends a body in chunks that are all there at once, as those of one read from a connection are."""
+
+    is_sending: bool = False
+
+    async def _body(self, script: Script) -> AsyncIterator[bytes]:
+        self.is_sending = True
+        for number in range(NUM_SMALL_CHUNKS // 2):
+            yield b"id: %d\n" % number
+            yield b"data: x\n\n"
+        self.is_sending = False
+
+
+@pytest.mark.parametrize("consumer", ["answer", "failure", "stream", "item", "score"])
+def test_other_tasks_run_while_a_body_arrives_in_small_chunks(consumer: str) -> None:
+    # Chunks of two bytes kept a node busy without a pause: 40 such answers ended 6 s after their deadline.
+    status = 500 if consumer == "failure" else 200
+    port = CrumblingPort([Script("answer", status=status)], weight_version=1)
+    kinds = {
+        "answer": RouteKind.NON_IDEMPOTENT,
+        "failure": RouteKind.STREAMING,
+        "stream": RouteKind.STREAMING,
+    }
+    configure_logs("error")
+    directory = WorkerDirectory()
+    directory.put(WORKER)
+    num_turns = 0
+
+    async def read() -> None:
+        if consumer == "item":
+            assert isinstance(await run_item(port, WORKER, SPEC, TextBuilder(), lambda: None), RunFinished)
+        elif consumer == "score":
+            assert isinstance((await call_scorer(port, WORKER, CALL, 1.0)).outcome, Scored)
+        else:
+            now = anyio.current_time()
+            request = LiveRequest("id", "POST", b"/x", (), b"", now, now + 10.0)
+            async with AsyncExitStack() as stack:
+                forwarder = Forwarder(directory, port, random.Random(1))
+                on = replace(route(kinds[consumer]), timeout_seconds=None)
+                outcome = await forwarder.forward(request, on, stack)
+                if isinstance(outcome, StreamAnswer):
+                    assert len([block async for block in outcome.events]) == NUM_SMALL_CHUNKS // 2
+                else:
+                    assert isinstance(outcome, WholeAnswer)
+
+    async def main() -> None:
+        async def take_turns() -> None:
+            nonlocal num_turns
+            while True:
+                await anyio.lowlevel.checkpoint()
+                num_turns += port.is_sending
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(take_turns)
+            await read()
+            group.cancel_scope.cancel()
+
+    anyio.run(main)
+    assert num_turns >= NUM_SMALL_CHUNKS // 32 - 1
