--- a/tests/platform/test_connections_of_resent_requests.py
+++ b/tests/platform/test_connections_of_resent_requests.py
@@ -8,9 +8,10 @@
 from worksramp_platform import names
 from worksramp_platform.workers import PlatformWorkers
 
+from tests.platform.marked_sends import Verdict, World
 from tests.platform.served_worker import id_in, listening, status_of
 from tests.platform.stuttering_worker import Turn, stuttering_worker
-from tests.platform.test_answers_that_come_twice import FULL, Verdict, World
+from tests.platform.test_answers_that_come_twice import FULL
 
 LONG_BODY = b"b" * 8_000_000
 
