--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,8 @@
 # Two commands for a newcomer: `make demo` and `make test`.
 VENV := .venv
 BIN := $(VENV)/bin
+# One of them runs all tests that open sockets or start processes.
+TEST_PROCESSES := 3
 
 $(VENV)/.installed: requirements.lock pyproject.toml
 	python3.11 -m venv $(VENV)
@@ -17,7 +19,7 @@
 	$(BIN)/ruff check .
 	$(BIN)/mypy --strict
 	PYTHONPATH=platform $(BIN)/lint-imports
-	$(BIN)/pytest
+	$(BIN)/pytest -n $(TEST_PROCESSES) --dist loadgroup
 
 faults: $(VENV)/.installed
 	$(BIN)/python scripts/faults.py
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+PLATFORM_TESTS = Path(__file__).parent / "platform"
 KNOWN_RED_FILE = Path(__file__).parent.parent / "KNOWN-RED.txt"
 MAX_KNOWN_RED = 3
 NUM_FIELDS = 4
@@ -33,7 +34,12 @@
     parser.addoption("--known-red", action="store_true", help="run the tests of KNOWN-RED.txt too")
 
 
+@pytest.hookimpl(tryfirst=True)
 def pytest_collection_modifyitems(config: pytest.Config, items: list[pytest.Item]) -> None:
+    for item in items:
+        # These tests open sockets and start processes. One after the other, none takes another's free port.
+        if PLATFORM_TESTS in item.path.parents:
+            item.add_marker(pytest.mark.xdist_group("platform"))
     lines = known_red_lines(KNOWN_RED_FILE.read_text()) if KNOWN_RED_FILE.exists() else []
     config.stash[LINES_KEY] = lines
     if config.getoption("--known-red"):
@@ -45,5 +51,6 @@
 
 
 def pytest_terminal_summary(terminalreporter: pytest.TerminalReporter, config: pytest.Config) -> None:
-    for line in config.stash.get(LINES_KEY, []):
+    # A process that hands its tests to others collects none itself.
+    for line in config.stash.get(LINES_KEY, None) or known_red_lines(KNOWN_RED_FILE.read_text()):
         terminalreporter.write_line(f"known red: {line}")
