Connections to workers: 250 ids are remembered instead of 1,000

Cause: the review measured 67 KB for a connection that has carried 1,000 ids. A connection is replaced after 250 calls, so one in 250 calls opens one more; not measured apart from that.

--- a/src/worksramp/connections/connection.py
+++ b/src/worksramp/connections/connection.py
@@ -26,7 +26,7 @@
 
 READ_SIZE_B = 256 * 1024
 #: Ids that a connection remembers. It is replaced after that many calls, which bounds its memory.
-MAX_CALLS_PER_CONNECTION = 1000
+MAX_CALLS_PER_CONNECTION = 250
 MAX_LOGGED_ID_CHARACTERS = 64
 #: A call of this size is taken by the kernel whole, whatever the worker reads.
 MAX_UNREAD_CALL_B = 16 * 1024
