--- a/tests/unit/test_stale_texts.py
+++ b/tests/unit/test_stale_texts.py
@@ -12,6 +12,7 @@
 from worksramp.rollout.stale_texts import is_stale
 from worksramp.wire import encode
 from worksramp_emulator.simulation.batch_checkers import check_all
+from worksramp_emulator.simulation.batch_faults import draw_faults
 from worksramp_emulator.simulation.batch_world import MODEL, BatchWorld, BatchWorldSpec
 from worksramp_emulator.simulation.clock import run_simulated
 
@@ -53,6 +54,25 @@
     assert check_all(world, LEASE_S) == []
 
 
+# Guards against the same wait after other faults: with seed 4, two steps in a row were never whole.
+@pytest.mark.parametrize("seed", [4, 5])
+def test_steps_of_one_version_are_whole_in_time_under_drawn_faults(seed: int) -> None:
+    configure_logs("error")
+
+    async def main() -> BatchWorld:
+        async with anyio.create_task_group() as group:
+            world = BatchWorld(BatchWorldSpec(needs_one_version=True, required_group_share=1.0), seed, group)
+            await world.start()
+            group.start_soon(draw_faults, world, 30.0)
+            await world.train(7)
+            group.cancel_scope.cancel()
+        return world
+
+    world = run_simulated(main, seed)
+    assert [step.step for step in world.steps if step.seconds is None] == []
+    assert check_all(world, LEASE_S) == []
+
+
 @pytest.mark.parametrize(
     ("held", "is_discarded"),
     [
