Connections to workers: names a newcomer expects; no answer is skipped before one without a body

The review's notes on reading: settle is prepare_reuse, finish is read_received_rest, begin_idle of a connection is mark_idle; the reader says how what is left of one answer reaches the next parser. One fault with it: a surplus answer in front of that to a HEAD request was skipped with the wrong framing, and a body that never comes waited for until the deadline (read in the code by the review; it needs bytes that nobody asked for, since HEAD has a connection of its own). It ends the call now. Evidence: test_no_other_answer_is_skipped_in_the_place_of_one_without_a_body takes the second answer on the code before; 63 passed in the six files on connections.

--- a/src/worksramp/connections/answers.py
+++ b/src/worksramp/connections/answers.py
@@ -15,6 +15,8 @@
 #: Body of an answer that is skipped.
 MAX_SURPLUS_B = 64 * 1024 * 1024
 STATUSES_WITHOUT_BODY = frozenset([204, 304])
+#: An answer to one of these has no body whatever its head says, so no other answer may be read in its place.
+METHODS_WITHOUT_BODY = frozenset(["HEAD", "CONNECT"])
 
 HeaderPairs = list[tuple[bytes, bytes]]
 
@@ -88,6 +90,9 @@
 class AnswerReader:
     """Reads the answers of one connection, one call after the other.
 
+    Each parser reads one answer. What it has received beyond the answer's end, and whether the worker has
+    closed the connection, is passed on to the next parser, within a call or at the next one.
+
     Args:
         id_header: lower-case name of the header that holds the id of an answer's call.
     """
@@ -202,7 +207,8 @@
                 return AnswerHead(head.status_code, head.headers.raw_items(), is_named=False)
         if call_id is None:
             raise AnswerError(f"answer without an id, status {head.status_code}")
-        if not _has_length(head):
+        is_bodiless_call = self._call is not None and self._call.method in METHODS_WITHOUT_BODY
+        if is_bodiless_call or not _has_length(head):
             raise AnswerError(f"answer to another call {call_id!r} without a length")
         self._surplus = SurplusAnswer(call_id, head.status_code)
         self._surplus_size_b = 0
--- a/src/worksramp/connections/connection.py
+++ b/src/worksramp/connections/connection.py
@@ -11,6 +11,7 @@
 import structlog
 
 from worksramp.connections.answers import (
+    METHODS_WITHOUT_BODY,
     AnswerEnd,
     AnswerError,
     AnswerHead,
@@ -33,8 +34,6 @@
 KEEP_ALIVE_TIMEOUT = re.compile(rb"\btimeout=(\d{1,6})\b")
 #: A call must reach the worker before it closes the connection.
 KEEP_ALIVE_MARGIN_S = 0.5
-#: An answer to one of these has no body whatever its head says, so no other answer may be read in its place.
-METHODS_WITHOUT_BODY = frozenset(["HEAD", "CONNECT"])
 
 logger = structlog.get_logger()
 
@@ -82,7 +81,7 @@
 
     @property
     def label(self) -> str:
-        """Number of the connection and of its calls, for the logs."""
+        """Number of the connection and of the ids it has carried, for the logs."""
         return f"{self._name.number}/{len(self._carried)}"
 
     @property
@@ -90,7 +89,7 @@
         """Whether the connection may be used for another call."""
         return not self._has_failed and not self._is_last_call and self._reader.may_carry_another
 
-    def begin_idle(self) -> None:
+    def mark_idle(self) -> None:
         """Record that the connection carries no call from now on."""
         self._idle_since = anyio.current_time()
 
@@ -184,7 +183,7 @@
         """Have the connection closed after its call."""
         self._has_failed = True
 
-    def finish(self) -> None:
+    def read_received_rest(self) -> None:
         """Read the rest of an answer whose body is not wanted, as far as it has arrived already."""
         if self._has_failed or self._reader.is_answered:
             return
@@ -194,7 +193,7 @@
         except AnswerError:
             self._has_failed = True
 
-    async def settle(self) -> bool:
+    async def prepare_reuse(self) -> bool:
         """Read what has arrived since the last call; return whether another call can be sent.
 
         Whole answers to former calls are skipped. Anything else, or the end of the connection, would be met
--- a/src/worksramp/connections/pool.py
+++ b/src/worksramp/connections/pool.py
@@ -140,7 +140,7 @@
         while (connection := self._take_idle(call)) is not None:
             is_usable = False
             try:
-                is_usable = await connection.settle()
+                is_usable = await connection.prepare_reuse()
             finally:
                 if not is_usable:
                     await self._close([connection])
@@ -186,9 +186,9 @@
 
     async def _release(self, connection: WorkerConnection) -> None:
         """Keep a connection for another call if it may carry one."""
-        connection.finish()
+        connection.read_received_rest()
         if connection.may_carry_another and not self._is_closed:
-            connection.begin_idle()
+            connection.mark_idle()
             self._idle.append(connection)
         else:
             await self._close([connection])
--- a/tests/unit/test_answer_reader.py
+++ b/tests/unit/test_answer_reader.py
@@ -111,6 +111,14 @@
         read_once(data)
 
 
+def test_no_other_answer_is_skipped_in_the_place_of_one_without_a_body() -> None:
+    # The body that its head announces would be waited for until the deadline.
+    reader = AnswerReader(ID_HEADER)
+    reader.begin(call(b"own", method="HEAD"))
+    with pytest.raises(AnswerError):
+        read(reader, [answer(b"other", b"xy")[:-2] + answer(b"own")])
+
+
 def test_an_answer_without_an_id_is_taken_only_where_the_call_allows_it() -> None:
     reader = AnswerReader(ID_HEADER)
     reader.begin(call(b"own", may_be_unnamed=True))
