--- a/src/worksramp_emulator/soak/checks.py
+++ b/src/worksramp_emulator/soak/checks.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from itertools import combinations
 
+from worksramp_emulator.soak.model_workers import ModelWorker, item_text
 from worksramp_emulator.soak.plan import Kind
 from worksramp_emulator.soak.record import (
     NO_ANSWER,
@@ -15,7 +16,6 @@
     WorkerAnswer,
     scoring_call_id,
 )
-from worksramp_emulator.soak.workers import ModelWorker, item_text
 
 #: Statuses that promise that a request has not run and never will.
 NOT_RUN_STATUSES = frozenset([408, 421, 429, 503])
--- a/src/worksramp_emulator/soak/runner.py
+++ b/src/worksramp_emulator/soak/runner.py
@@ -12,12 +12,13 @@
 from worksramp_emulator.shared_log import LogStore
 from worksramp_emulator.soak.callers import Client, Submitter, Surroundings
 from worksramp_emulator.soak.checks import Figures, figures, violations
+from worksramp_emulator.soak.model_workers import FIRST_VERSION, ModelWorker
 from worksramp_emulator.soak.nodes import NodeProcess, free_addresses
 from worksramp_emulator.soak.plan import NUM_CLIENTS, NUM_NODES, NodeSignal, Plan
 from worksramp_emulator.soak.record import Record
 from worksramp_emulator.soak.store import StoreServer
 from worksramp_emulator.soak.words import Words
-from worksramp_emulator.soak.workers import FIRST_VERSION, ModelWorker, Worker, WorkerSite
+from worksramp_emulator.soak.workers import Worker, WorkerSite
 
 NUM_WORKERS = 3
 NUM_SUBMITTERS = 4
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -7,11 +7,11 @@
 import pytest
 
 from worksramp_emulator.soak.checks import violations
+from worksramp_emulator.soak.model_workers import item_text
 from worksramp_emulator.soak.plan import Kind, Plan
 from worksramp_emulator.soak.record import BatchSeen, CallerAnswer, ItemResult, ItemRun, Record, WorkerAnswer
 from worksramp_emulator.soak.runner import run_soak
 from worksramp_emulator.soak.words import load_words
-from worksramp_emulator.soak.workers import item_text
 
 ROOT = Path(__file__).parents[2]
 WORDS = load_words(ROOT / "deploy" / "soak.toml")
