A surplus answer that breaks off is met by limits, and joined heads are no answer

What callers could have met, found by the tests of this part: an answer to another call whose body never goes on held an item, which has no deadline, and the port; one in chunks without an end was read up to 64 MB; a surplus head that breaks off inside a line joins the next status line, so the own failure behind it read as a success with the own id. Now such a body has 4 MB and pauses of 0.5 s at most, and a head that holds the start of a status line in its reason or a value is no answer. Still open: a surplus that breaks off at a line end in front of the own head cannot be told from one answer.

--- a/src/worksramp/connections/answers.py
+++ b/src/worksramp/connections/answers.py
@@ -12,8 +12,9 @@
 #: More answers than a caller can have caused; each has to be read before the call's own.
 MAX_SURPLUS_ANSWERS = 64
 MAX_INTERIM_ANSWERS = 16
-#: Body of an answer that is skipped.
-MAX_SURPLUS_B = 64 * 1024 * 1024
+#: Largest body of an answer that is skipped, as large as an answer may be.
+MAX_SURPLUS_B = 4 * 1024 * 1024
+STATUS_LINE_START = b"HTTP/1."
 STATUSES_WITHOUT_BODY = frozenset([204, 304])
 #: An answer to one of these has no body whatever its head says, so no other answer may be read in its place.
 METHODS_WITHOUT_BODY = frozenset(["HEAD", "CONNECT"])
@@ -119,6 +120,11 @@
         """Whether no call is open and the worker has not announced the end of the connection."""
         return self.is_answered and self._may_continue and not self._is_closed
 
+    @property
+    def is_skipping(self) -> bool:
+        """Whether an answer to another call is being read."""
+        return self._surplus is not None
+
     @property
     def has_unread(self) -> bool:
         """Whether bytes have been received that no answer has used."""
@@ -196,6 +202,8 @@
             raise AnswerError("interim answers without an end")
 
     def _handle_head(self, head: h11.Response) -> AnswerHead | None:
+        if STATUS_LINE_START in head.reason or any(STATUS_LINE_START in value for _, value in head.headers):
+            raise AnswerError("a head that broke off runs into the next one")
         ids = {value for name, value in head.headers if name == self._id_header}
         if len(ids) > 1:
             raise AnswerError(f"answer names several calls: {sorted(ids)[:2]!r}")
--- a/src/worksramp/connections/connection.py
+++ b/src/worksramp/connections/connection.py
@@ -29,6 +29,8 @@
 #: Ids that a connection remembers. It is replaced after that many calls, which bounds its memory.
 MAX_CALLS_PER_CONNECTION = 250
 MAX_LOGGED_ID_CHARACTERS = 64
+#: Longest pause within an answer to another call. A worker writes it whole, since it is finished.
+MAX_SURPLUS_PAUSE_S = 0.5
 #: A call of this size is taken by the kernel whole, whatever the worker reads.
 MAX_UNREAD_CALL_B = 16 * 1024
 KEEP_ALIVE_TIMEOUT = re.compile(rb"\btimeout=(\d{1,6})\b")
@@ -223,12 +225,20 @@
     async def _next_event(self) -> ReaderEvent:
         try:
             while isinstance(event := self._reader.next_event(), DataNeeded):
-                self._reader.feed(await self._receive())
+                self._reader.feed(await self._receive_in_time())
         except AnswerError as error:
             self._has_failed = True
             raise CallError(str(error)) from error
         return event
 
+    async def _receive_in_time(self) -> bytes:
+        if not self._reader.is_skipping:
+            return await self._receive()
+        with anyio.move_on_after(MAX_SURPLUS_PAUSE_S):
+            return await self._receive()
+        self._has_failed = True
+        raise CallError("an answer to another call does not go on")
+
     async def _receive(self) -> bytes:
         """Return received bytes, or none once the worker has closed the connection."""
         try:
--- a/tests/unit/test_answer_reader.py
+++ b/tests/unit/test_answer_reader.py
@@ -102,6 +102,8 @@
         CONTINUE * (MAX_INTERIM_ANSWERS + 1) + answer(b"own"),
         answer(b"other") * (MAX_SURPLUS_ANSWERS + 1) + answer(b"own"),
         answer(b"other", b"cut")[:-1],
+        b"HTTP/1.1 200 X\r\nx-a: cut" + answer(b"own"),
+        b"HTTP/1.1 200 cut" + answer(b"own"),
         answer(b"own", b"cut")[:-1],
         b"",
     ],
