--- a/src/worksramp/connections/connection.py
+++ b/src/worksramp/connections/connection.py
@@ -58,6 +58,7 @@
 
     Args:
         stream: the open connection.
+        name: names it in the logs.
         id_header: lower-case name of the header that holds the id of an answer's call.
         on_surplus: called for each answer that belonged to another call.
     """
