--- a/tests/platform/test_entries_that_change.py
+++ b/tests/platform/test_entries_that_change.py
@@ -73,9 +73,8 @@
 
 async def forbid_repeats(deployment: Deployment) -> None:
     """Put a configuration into force in which live requests must not be repeated, not even as a backup."""
-    routes = [
-        {**route, "type": "non_idempotent"} for route in CONFIGURATION["routes"] if route["name"] == "c"
-    ]
+    all_routes: Any = CONFIGURATION["routes"]
+    routes = [{**route, "type": "non_idempotent"} for route in all_routes if route["name"] == "c"]
     config = {**CONFIGURATION, "version": 2, "routes": routes}
     record = KeyedRecord("config", json.dumps(config).encode())
     deployment.store.do_append(RECORDS.control, (record,), None, None)
