Values behind large neighbours are read by key, and items in groups that are retried alone

Cause: reads by key took one page of the store's newest records; where up to nine neighbours before the wanted key filled the page's 1 MB, the wanted one was never on it, and the same page was read again for ever. Class: a page that is taken for the whole.

Reads by key now go on page by page until the key is passed. Reads by offset go on as long as they find what is wanted, where four of 1 MB were the most. Items of a batch are read in groups of 1 MB, so that a failed call repeats its own group alone.

--- a/src/worksramp/coordination/value_store.py
+++ b/src/worksramp/coordination/value_store.py
@@ -30,8 +30,8 @@
 #: store still gets its time.
 FIRST_TRY_S = 0.3
 RECORD_OVERHEAD_B = 300
-#: Maximum number of reads by offset before reading by key: records of other writers may lie in between.
-MAX_READS_BY_OFFSET = 4
+#: Maximum number of sparse reads by offset before reading by key: records of other writers lie in between.
+MAX_SPARSE_READS = 4
 
 
 @dataclass(frozen=True, slots=True)
@@ -188,34 +188,36 @@
         self, partition: Partition, missing: dict[str, ValueLocation]
     ) -> dict[str, bytes]:
         found: dict[str, bytes] = {}
-        start = 0
-        for _ in range(MAX_READS_BY_OFFSET):
-            if not missing:
-                break
+        start = num_sparse = 0
+        while missing and num_sparse < MAX_SPARSE_READS:
             start = max(start, min(location.offset for location in missing.values()))
             size_b = sum(location.size_b + RECORD_OVERHEAD_B for location in missing.values())
             answer = await self.log.read(partition, start, 0.0, max_bytes=size_b)
             if isinstance(answer, RecordsGone) or not answer.records:
                 break
+            num_found = len(found)
             for record in answer.records:
                 if missing.pop(record.key, None) is not None:
                     found[record.key] = record.value
+            num_sparse += 2 * (len(found) - num_found) < len(answer.records)
             start = answer.records[-1].offset + 1
         return found
 
     async def _fetch_by_key(
         self, partition: Partition, missing: dict[str, ValueLocation]
     ) -> dict[str, bytes]:
+        """Read the missing values by key, page by page; stop at one that the store does not have."""
         found: dict[str, bytes] = {}
         for key in sorted(missing):
-            if key not in missing:
-                continue
-            # A page starts after the given key, so the last character is removed. Only a few other keys sort
-            # in between.
-            page = await self.log.newest(partition, key[:-1])
-            for record in page.records:
-                if missing.pop(record.key, None) is not None:
-                    found[record.key] = record.value
+            after: str | None = _key_before(key)
+            while key in missing and after is not None and after < key:
+                page = await self.log.newest(partition, after)
+                for record in page.records:
+                    if missing.pop(record.key, None) is not None:
+                        found[record.key] = record.value
+                after = page.next_after
+            if key in missing:
+                break
         return found
 
     async def newest_values(self, group: str) -> dict[str, bytes]:
@@ -236,3 +238,8 @@
                     return values
         except LogUnavailableError as error:
             raise ValuesUnavailableError(error.step, str(partition), error.reason) from error
+
+
+def _key_before(key: str) -> str:
+    """Return a text that sorts before a key, with few other keys in between; pages start after a key."""
+    return key[:-1] + chr(ord(key[-1]) - 1)
--- a/src/worksramp/rollout/batch_reader.py
+++ b/src/worksramp/rollout/batch_reader.py
@@ -1,6 +1,6 @@
 """Reads the items of a batch, and texts from earlier batches, when an owner opens the batch."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 
 import anyio
 import structlog
@@ -13,6 +13,8 @@
 RETRY_DELAY_SECONDS = 0.1
 #: Waiting longer for a text of an earlier batch is not worthwhile; the item is generated again instead.
 EARLIER_TEXTS_TIMEOUT_SECONDS = 0.5
+#: Items that are read together; a failed call to the store repeats the reads of these alone.
+GROUP_SIZE_B = 1_000_000
 
 logger = structlog.get_logger()
 
@@ -30,6 +32,12 @@
         Returns:
             Items by index; empty if the batch was ended first.
         """
+        items: dict[int, BatchItem] = {}
+        for group in _groups(batch, indices):
+            items |= await self._items_of_group(batch, group)
+        return {} if batch.is_ended else items
+
+    async def _items_of_group(self, batch: Batch, indices: list[int]) -> dict[int, BatchItem]:
         while not batch.is_ended:
             try:
                 return await self._values.items(batch.header, indices)
@@ -65,3 +73,17 @@
                     pieces, None, result.versions, 0, is_whole=True, score=result.score
                 )
         return texts
+
+
+def _groups(batch: Batch, indices: list[int]) -> Iterator[list[int]]:
+    """Yield the items in groups of about `GROUP_SIZE_B`."""
+    group: list[int] = []
+    size_b = 0
+    for index in indices:
+        group.append(index)
+        size_b += batch.header.item_sizes_b[index]
+        if size_b >= GROUP_SIZE_B:
+            yield group
+            group, size_b = [], 0
+    if group:
+        yield group
--- a/src/worksramp_emulator/shared_log.py
+++ b/src/worksramp_emulator/shared_log.py
@@ -27,6 +27,8 @@
 from worksramp_emulator.log_partition import LogPartition
 
 PAGE_SIZE = 50
+#: Maximum size of what one call returns, unless its first record is larger.
+ANSWER_SIZE_B = 1024 * 1024
 CALL_TIMEOUT_SECONDS = 1.0
 
 
@@ -211,19 +213,18 @@
         await self._store.traverse_link(self._node, "newest")
         state = self._store.state(partition)
         keys = sorted(key for key in state.newest if after is None or key > after)
-        page = tuple(state.newest[key] for key in keys[:PAGE_SIZE])
-        has_more = len(keys) > PAGE_SIZE
+        page = _limit_size([state.newest[key] for key in keys[:PAGE_SIZE]], None)
+        has_more = len(keys) > len(page)
         await self._store.traverse_link(self._node, "newest")
         return NewestPage(page, page[-1].key if has_more else None, len(state.records))
 
 
 def _limit_size(records: list[StoredRecord], max_bytes: int | None) -> tuple[StoredRecord, ...]:
-    """Return the first records that fit into ``max_bytes``, but at least one, or all if it is None."""
-    if max_bytes is None:
-        return tuple(records)
+    """Return the first records that fit into ``max_bytes`` and one answer, but at least one."""
+    limit_b = ANSWER_SIZE_B if max_bytes is None else min(max_bytes, ANSWER_SIZE_B)
     num_bytes = 0
     for count, record in enumerate(records):
         num_bytes += len(record.key) + len(record.value)
-        if count and num_bytes > max_bytes:
+        if count and num_bytes > limit_b:
             return tuple(records[:count])
     return tuple(records)
--- a/tests/unit/test_value_store.py
+++ b/tests/unit/test_value_store.py
@@ -15,8 +15,9 @@
     ValuesUnavailableError,
     split_into_calls,
 )
+from worksramp.rollout.batch_reader import BatchReader
 from worksramp.rollout.batch_values import BatchValues, records_of_text, value_tombstones
-from worksramp.rollout.batches import Batch, BatchHeader, BatchItem, ResultRecord
+from worksramp.rollout.batches import Batch, BatchHeader, BatchItem, BatchLedger, ResultRecord
 from worksramp_emulator.shared_log import LogClient, LogStore
 from worksramp_emulator.simulation.clock import run_simulated
 
@@ -67,6 +68,28 @@
     simulate(work)
 
 
+def test_values_whose_neighbours_fill_a_page_are_read_by_key() -> None:
+    # Reads by key took one page of the store, so that a value behind 1 MB of its neighbours was never found.
+    async def work(values: ValueStore, store: LogStore) -> None:
+        names = [f"g/{number:06}" for number in range(60)]
+        large = [KeyedRecord(name, name.encode() + bytes(130_000)) for name in names]
+        stored = await values.put("g", large, 1.0)
+        assert isinstance(stored, Stored)
+        wanted = [
+            ValueLocation(record.key, offset, len(record.value))
+            for record, offset in zip(large, stored.offsets, strict=True)
+        ]
+        assert await values.fetch("g", wanted) == {record.key: record.value for record in large}
+        store.apply_retention(values.partition_of("g"))
+        assert await values.fetch("g", wanted[38:39]) == {names[38]: large[38].value}
+        assert await values.fetch("g", wanted) == {record.key: record.value for record in large}
+        # Others in between, all with large values, whose keys sort before the wanted one.
+        await values.put("g", [KeyedRecord(f"g/000037/{each}", bytes(250_000)) for each in range(9)], 1.0)
+        assert await values.fetch("g", wanted[38:39]) == {names[38]: large[38].value}
+
+    simulate(work)
+
+
 def test_a_missing_value_or_an_unavailable_store_is_an_error_and_never_a_partial_result() -> None:
     async def work(values: ValueStore, store: LogStore) -> None:
         wanted = locations(["g/1"], await values.put("g", records("g/1"), 1.0))
@@ -135,3 +158,30 @@
         assert await batch_values.items(placed, [11]) == {11: items[11]}
 
     simulate(work)
+
+
+def test_items_of_a_large_batch_are_read_although_calls_to_the_store_fail_now_and_then() -> None:
+    # All items were read together, and one failed call began them all again: 40 calls in a row never succeed.
+    async def work(values: ValueStore, store: LogStore) -> None:
+        items = [BatchItem(f"x{number}", "/", (), bytes(200_000), 9) for number in range(160)]
+        header = BatchHeader("b", "h", "/", 0.0, tuple(item.item_id for item in items), ("",) * 160)
+        placed = await BatchValues(values).put_items(header, items, 1.0)
+        assert isinstance(placed, BatchHeader)
+        store.apply_retention(values.partition_of("b"))
+        async with anyio.create_task_group() as group:
+
+            async def disturb() -> None:
+                while True:
+                    await anyio.sleep(0.1)
+                    store.faults.is_down = True
+                    await anyio.sleep(0.01)
+                    store.faults.is_down = False
+
+            group.start_soon(disturb)
+            reader = BatchReader(BatchValues(values), BatchLedger())
+            with anyio.fail_after(20.0):
+                read = await reader.items(Batch(placed), list(range(160)))
+            group.cancel_scope.cancel()
+        assert read == dict(enumerate(items))
+
+    simulate(work)
