Entries that come and go one after the other no longer add up against the workers

Cause: all ids ever seen voted on whether workers state their start times, so that one foreign entry at a time, under seven ids in turn, outvoted three workers. Class: evidence that only grows, where what it stands for comes and goes.

Now the most entries of each kind that have been there at the same time decide, and only those of services that the configuration names (all while there is none). What was known remains known: workers that crash, or whose entries expire while the store is away, still count, since the largest number is kept. Decided again with each configuration.

Left: more foreign entries at the same time than two for each worker, of a named service, whole but for the start time.

--- a/src/worksramp/edge/node.py
+++ b/src/worksramp/edge/node.py
@@ -168,6 +168,7 @@
             on_refused=lambda fault: self.metrics.entries_refused.labels(fault.value).inc(),
             on_change=lambda: self.shard.wake(),
             is_loaded=lambda: self._workers.is_loaded,
+            service_names=lambda: None if self.table.current is None else self.table.current.service_names,
         )
         values = BatchValues(ValueStore(self.log, self.records.values))
         self.shard = BatchShard(
@@ -390,6 +391,7 @@
             return
         self.table.current = table
         logger.info("configuration_in_force", version=table.version, num_routes=len(table.routes))
+        self._entries.handle_configuration()
 
     def _apply_worker_change(self, change: Change) -> None:
         event = self.records.worker_event(change)
--- a/src/worksramp/edge/worker_entries.py
+++ b/src/worksramp/edge/worker_entries.py
@@ -1,6 +1,6 @@
 """Keep the directory of workers up to date as their entries in the store change."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
 
 import anyio
@@ -35,6 +35,7 @@
         on_refused: called with the fault of each entry that cannot be used.
         on_change: called after each change.
         is_loaded: returns whether the entries have been loaded once; the first load is logged as a whole.
+        service_names: returns the services that the configuration names, None while there is none.
     """
 
     directory: WorkerDirectory
@@ -43,6 +44,7 @@
     on_refused: Callable[[RecordFault], None]
     on_change: Callable[[], None]
     is_loaded: Callable[[], bool] = lambda: True
+    service_names: Callable[[], Collection[str] | None] = lambda: None
     _logged_faults: dict[str, RecordFault] = field(default_factory=dict)
     _is_log_full: bool = False
     #: Entries that are refused only for stating a start time, or stating none.
@@ -58,9 +60,15 @@
             self._apply_gone(event.worker_id)
         else:
             self._held_back.pop(event.key, None)
+            self._starts.remove(event.key)
             self._refuse(event)
         self.on_change()
 
+    def handle_configuration(self) -> None:
+        """Decide anew which entries are those of workers, once the configuration names other services."""
+        self._apply_start_times()
+        self.on_change()
+
     async def drop_missing(self) -> None:
         """Remove workers whose entries expired in an outage and were not written again, until cancelled."""
         while True:
@@ -75,7 +83,7 @@
 
     def _apply_seen(self, entry: WorkerEntry) -> None:
         self._held_back.pop(entry.worker_id, None)
-        self._starts.put(entry.worker_id, entry.started_ms != START_UNKNOWN)
+        self._starts.put(entry.worker_id, entry.service, entry.started_ms != START_UNKNOWN)
         self._apply_start_times()
         if not self._is_of_worker(entry):
             self._hold_back(entry)
@@ -111,13 +119,14 @@
         )
 
     def _is_of_worker(self, entry: WorkerEntry) -> bool:
-        return (entry.started_ms != START_UNKNOWN) == self._starts.are_stated
+        return (entry.started_ms != START_UNKNOWN) == self._were_starts_stated
 
     def _apply_start_times(self) -> None:
         """Use the entries of the kind that workers have now, and refuse the others."""
-        if self._starts.are_stated == self._were_starts_stated:
+        are_stated = self._starts.are_stated(self.service_names() or None)
+        if are_stated == self._were_starts_stated:
             return
-        self._were_starts_stated = self._starts.are_stated
+        self._were_starts_stated = are_stated
         entries = list(self._held_back.values())
         self._held_back.clear()
         for state in self.directory.all_states():
@@ -140,6 +149,7 @@
         write them again within about two seconds; the entries of other workers do not return.
         """
         was_outage = self.store_recovery_age() < OUTAGE_GRACE_SECONDS
+        self._starts.remove(worker_id)
         self._logged_faults.pop(worker_id, None)
         logger.info("worker_gone", worker=worker_id, is_kept=was_outage)
         if was_outage and self.directory.get(worker_id) is not None:
--- a/src/worksramp/routing/table.py
+++ b/src/worksramp/routing/table.py
@@ -127,13 +127,18 @@
 
 @dataclass(frozen=True, slots=True)
 class RouteTable:
-    """Routes, services, tenants and limits of one configuration version, which is in force as a whole."""
+    """Routes, services, tenants and limits of one configuration version, which is in force as a whole.
+
+    Attributes:
+        service_names: all services that the configuration names.
+    """
 
     version: int
     routes: tuple[Route, ...]
     services: dict[str, ServiceSpec]
     limits: CallerLimits = field(default_factory=CallerLimits)
     tenants: Tenants = field(default_factory=Tenants)
+    service_names: frozenset[str] = field(init=False, repr=False, compare=False)
     _index: dict[tuple[str, str], Route] = field(init=False, repr=False, compare=False)
 
     def __post_init__(self) -> None:
@@ -141,6 +146,8 @@
         for route in self.routes:
             index.setdefault((route.host, route.path_prefix), route)
         object.__setattr__(self, "_index", index)
+        of_routes = (part.service for route in self.routes for part in route.parts)
+        object.__setattr__(self, "service_names", frozenset([*self.services, *of_routes]))
 
     def match(self, host: str, path: str) -> Route | None:
         """Return the route for a request, or None if there is none.
--- a/tests/unit/test_worker_starts.py
+++ b/tests/unit/test_worker_starts.py
@@ -6,6 +6,7 @@
 import pytest
 
 from worksramp.edge.ports import RecordFault, UnreadableRecord, WorkerGone, WorkerSeen
+from worksramp.edge.start_times import MAX_SERVICES, StartTimes
 from worksramp.edge.worker_entries import MAX_LOGGED_FAULTS, WorkerEntries
 from worksramp.logs import configure_logs
 from worksramp.routing.quarantine import Quarantine
@@ -210,6 +211,66 @@
     assert [state.entry.worker_id for state in directory.usable("fleet")] == ["w1"]
 
 
+def workers_with_starts(num: int) -> list[WorkerSeen]:
+    return [
+        WorkerSeen(WorkerEntry(f"w{n}", "fleet", f"w{n}:1", "z", 6, started_ms=FIRST_MS))
+        for n in range(1, num + 1)
+    ]
+
+
+# Ids counted on after their entries had gone, so that one entry at a time outnumbered all workers in the end.
+@pytest.mark.parametrize("service", ["fleet", "thumbnailer"])
+def test_entries_of_another_writer_one_at_a_time_remove_no_worker(service: str) -> None:
+    directory, seen = WorkerDirectory(), list[RecordFault]()
+    entries = entries_of(directory, seen)
+    for worker in workers_with_starts(3):
+        entries.apply(worker)
+    for number in range(100):
+        entries.apply(WorkerSeen(WorkerEntry(f"odd-{number}", service, "odd:1", "z", 4)))
+        assert len(directory.usable("fleet")) == 3
+        entries.apply(WorkerGone(f"odd-{number}"))
+    assert [state.entry.worker_id for state in directory.usable("fleet")] == ["w1", "w2", "w3"]
+
+
+@pytest.mark.parametrize("num_odd", [1, 40])
+def test_entries_with_a_start_time_one_at_a_time_remove_no_worker_without(num_odd: int) -> None:
+    directory, seen = WorkerDirectory(), list[RecordFault]()
+    entries = entries_of(directory, seen)
+    for number in range(1, 6):
+        entries.apply(seen_without_start(f"w{number}"))
+    for number in range(num_odd):
+        odd = WorkerEntry(f"odd-{number}", "fleet", "odd:1", "z", 4, started_ms=FIRST_MS)
+        entries.apply(WorkerSeen(odd))
+        entries.apply(WorkerGone(odd.worker_id))
+    assert [state.entry.worker_id for state in directory.usable("fleet")] == [f"w{n}" for n in range(1, 6)]
+
+
+# Entries of services that no configuration names decided about the workers of those that it names.
+@pytest.mark.parametrize("is_named_first", [True, False])
+def test_entries_of_services_that_are_not_named_remove_no_worker(is_named_first: bool) -> None:
+    directory, seen = WorkerDirectory(), list[RecordFault]()
+    entries = entries_of(directory, seen)
+    named: set[str] | None = {"fleet"} if is_named_first else None
+    entries.service_names = lambda: named
+    for worker in workers_with_starts(3):
+        entries.apply(worker)
+    for number in range(30):
+        entries.apply(WorkerSeen(WorkerEntry(f"odd-{number}", f"other-{number % 3}", "odd:1", "z", 4)))
+    named = {"fleet"}
+    entries.handle_configuration()
+    assert [state.entry.worker_id for state in directory.usable("fleet")] == ["w1", "w2", "w3"]
+    assert not any(directory.usable(f"other-{number}") for number in range(3))
+
+
+def test_start_times_remember_few_services_that_have_no_entries() -> None:
+    starts = StartTimes()
+    starts.put("w1", "fleet", True)
+    for number in range(3 * MAX_SERVICES):
+        starts.put(f"odd-{number}", f"other-{number}", False)
+        starts.remove(f"odd-{number}")
+    assert starts.are_stated({"fleet"}) and starts.num_services <= MAX_SERVICES + 1
+
+
 def test_an_entry_of_an_earlier_start_removes_the_worker() -> None:
     directory, seen = WorkerDirectory(), list[RecordFault]()
     entries = entries_of(directory, seen)
