Bodies of requests are bounded by the memory of the machine

Nothing bounded the bytes of requests, each of which was held some four times. And requests that had ended stayed in memory: the tracebacks of cancelled tasks refer to their frames in cycles, so that 13 bodies of 20 MB waited for the garbage collector at one moment (found by a walk over the referrers of finished requests).

Bodies now have a budget of the machine's memory (machine.memory_mb, from limits.memoryMb of the platform). A request waits 0.5 s for room, then its body is read and dropped, so that its sender is not reset, and it gets 503. What has been given up counts until a collection. A body is kept once: read into one buffer without a copy, written to workers in slices, items of batches encoded as they are stored. The server reads two parts of a body ahead instead of ten.

Left: items of open batches are held by the owner without a limit of bytes.

The settings file's memory_mb takes effect at the next start.

--- a/src/worksramp/connections/answers.py
+++ b/src/worksramp/connections/answers.py
@@ -130,8 +130,8 @@
         """Whether bytes have been received that no answer has used."""
         return bool(self._rest)
 
-    def begin(self, call: Call) -> bytes:
-        """Begin a call and return the bytes to send.
+    def begin(self, call: Call) -> list[bytes]:
+        """Begin a call and return the bytes to send, in parts, of which the body is no copy.
 
         Raises:
             AnswerError: the call cannot be written as HTTP.
@@ -139,16 +139,16 @@
         self._parser = _new_parser()
         try:
             request = h11.Request(method=call.method, target=call.target, headers=call.headers)
-            sent = self._parser.send(request) or b""
+            parts = [self._parser.send(request) or b""]
             if call.body:
-                sent += self._parser.send(h11.Data(data=call.body)) or b""
-            sent += self._parser.send(h11.EndOfMessage()) or b""
+                parts += self._parser.send_with_data_passthrough(h11.Data(data=call.body)) or []
+            parts.append(self._parser.send(h11.EndOfMessage()) or b"")
         except h11.LocalProtocolError as error:
             raise AnswerError(f"call cannot be sent: {error}") from error
         self._call = call
         self._num_surplus = self._num_interim = 0
         self._continue_with_rest()
-        return sent
+        return parts
 
     def begin_idle(self) -> None:
         """Prepare to read what arrives while no call is open; all of it is surplus."""
--- a/src/worksramp/connections/connection.py
+++ b/src/worksramp/connections/connection.py
@@ -26,6 +26,7 @@
 from worksramp.connections.errors import CallError, UnsendableCallError
 
 READ_SIZE_B = 256 * 1024
+WRITE_SIZE_B = 128 * 1024
 #: Ids that a connection remembers. It is replaced after that many calls, which bounds its memory.
 MAX_CALLS_PER_CONNECTION = 250
 MAX_LOGGED_ID_CHARACTERS = 64
@@ -128,22 +129,25 @@
             call.method in METHODS_WITHOUT_BODY or len(self._carried) >= MAX_CALLS_PER_CONNECTION
         )
         try:
-            data = self._reader.begin(call)
+            parts = self._reader.begin(call)
         except AnswerError as error:
             raise UnsendableCallError(str(error)) from error
-        if len(data) <= MAX_UNREAD_CALL_B:
-            await self._write(data)
+        if sum(len(part) for part in parts) <= MAX_UNREAD_CALL_B:
+            await self._write([b"".join(parts)])
             return await self._read_head(call)
-        return await self._write_and_read_head(call, data)
+        return await self._write_and_read_head(call, parts)
 
-    async def _write(self, data: bytes) -> None:
+    async def _write(self, parts: list[bytes]) -> None:
         try:
-            await self._stream.send(data)
+            for part in parts:
+                # The stream copies what the worker does not take at once.
+                for start in range(0, len(part), WRITE_SIZE_B):
+                    await self._stream.send(part[start : start + WRITE_SIZE_B])
         except (anyio.BrokenResourceError, anyio.ClosedResourceError):
             # A worker may answer and close before it has read a long call.
             self._has_failed = True
 
-    async def _write_and_read_head(self, call: Call, data: bytes) -> AnswerHead:
+    async def _write_and_read_head(self, call: Call, parts: list[bytes]) -> AnswerHead:
         """Read while the call is being written, since a worker may answer before it has read all.
 
         The whole call is written all the same: the worker may read on later, and nothing else may follow.
@@ -151,7 +155,7 @@
         head: AnswerHead | None = None
         reason = CallError("no answer")
         async with anyio.create_task_group() as group:
-            group.start_soon(self._write, data)
+            group.start_soon(self._write, parts)
             try:
                 head = await self._read_head(call)
             except CallError as error:
--- a/src/worksramp/coordination/value_store.py
+++ b/src/worksramp/coordination/value_store.py
@@ -7,7 +7,7 @@
 
 import random
 import zlib
-from collections.abc import Iterator, Sequence
+from collections.abc import Iterable, Iterator, Sequence
 from dataclasses import dataclass
 
 import anyio
@@ -87,7 +87,7 @@
         self.reason = reason
 
 
-def split_into_calls(records: Sequence[KeyedRecord], max_call_b: int) -> Iterator[tuple[KeyedRecord, ...]]:
+def split_into_calls(records: Iterable[KeyedRecord], max_call_b: int) -> Iterator[tuple[KeyedRecord, ...]]:
     """Yield the records in order, as groups that fit into one call each.
 
     A group takes at most half of ``max_call_b``, except for a single record that is larger.
@@ -148,7 +148,7 @@
         """Return the partition that holds a group."""
         return self._partitions[zlib.crc32(group.encode()) % len(self._partitions)]
 
-    async def put(self, group: str, records: Sequence[KeyedRecord], timeout_s: float) -> Stored | NotStored:
+    async def put(self, group: str, records: Iterable[KeyedRecord], timeout_s: float) -> Stored | NotStored:
         """Write records that may be stored twice without harm.
 
         Args:
--- a/src/worksramp/edge/asgi.py
+++ b/src/worksramp/edge/asgi.py
@@ -1,5 +1,6 @@
 """Read the request body and send the response through the ASGI messages of one HTTP request."""
 
+import io
 import math
 from collections.abc import AsyncIterator, Awaitable, Callable, MutableMapping
 from dataclasses import dataclass
@@ -49,19 +50,45 @@
     return Response(status, [(CONTENT_TYPE, JSON_TYPE), *(headers or [])], msgspec.json.encode(value))
 
 
-async def read_body(receive: Receive, max_bytes: int, part_timeout_seconds: float = math.inf) -> bytes:
+async def read_body(
+    receive: Receive,
+    max_bytes: int,
+    part_timeout_seconds: float = math.inf,
+    on_size: Callable[[int], None] = lambda size_b: None,
+) -> bytes:
     """Return the complete body of a request.
 
     Args:
         max_bytes: largest accepted size.
         part_timeout_seconds: longest wait for each part of the body.
+        on_size: called with the size so far, before a further part is kept.
 
     Raises:
         CallerGoneError: the caller disconnected before the end of the body.
         BodyTooLargeError: the body is longer than ``max_bytes``.
         BodyTooSlowError: a part did not arrive in time.
     """
-    chunks: list[bytes] = []
+    # A list of chunks takes many times the bytes of small chunks, and a byte array is copied in the end.
+    buffer = io.BytesIO()
+    async for chunk in _parts(receive, max_bytes, part_timeout_seconds):
+        on_size(buffer.tell() + len(chunk))
+        buffer.write(chunk)
+    return buffer.getvalue()
+
+
+async def skip_body(receive: Receive, max_bytes: int, part_timeout_seconds: float) -> None:
+    """Read the rest of a body without keeping it, so that its sender reads the answer.
+
+    Raises:
+        CallerGoneError: the caller disconnected before the end of the body.
+        BodyTooLargeError: the rest is longer than ``max_bytes``.
+        BodyTooSlowError: a part did not arrive in time.
+    """
+    async for _ in _parts(receive, max_bytes, part_timeout_seconds):
+        pass
+
+
+async def _parts(receive: Receive, max_bytes: int, part_timeout_seconds: float) -> AsyncIterator[bytes]:
     num_bytes = 0
     while True:
         try:
@@ -75,9 +102,9 @@
         num_bytes += len(chunk)
         if num_bytes > max_bytes:
             raise BodyTooLargeError
-        chunks.append(chunk)
+        yield chunk
         if not message.get("more_body", False):
-            return b"".join(chunks)
+            return
 
 
 async def wait_for_disconnect(receive: Receive) -> None:
--- a/src/worksramp/edge/node.py
+++ b/src/worksramp/edge/node.py
@@ -31,6 +31,7 @@
     UnreadableRecord,
     VersionNamed,
 )
+from worksramp.edge.request_memory import ByteBudget, RequestMemory, max_request_bytes
 from worksramp.edge.settings import DutyKind, EdgeSettings
 from worksramp.edge.shard import BatchShard, ShardContext
 from worksramp.edge.timing import gather_seconds, lease_times, poll_seconds
@@ -89,6 +90,7 @@
         quarantine: keeps requests that crash workers from workers.
         usage: counts the requests of this node, None if usage is not reported.
         held: counts the bytes of workers' answers that the node holds.
+        request_memory: counts the bytes of callers' requests that the node holds.
         forwarder: forwards live requests.
         shard: this node's part in the shard of batches.
         batches: handles the calls of trainers about batches.
@@ -109,6 +111,7 @@
     stopping: NodeStop = field(default_factory=NodeStop)
     quarantine: Quarantine = field(init=False)
     held: HeldBytes = field(init=False)
+    request_memory: RequestMemory = field(init=False)
     forwarder: Forwarder = field(init=False)
     shard: BatchShard = field(init=False)
     batches: BatchService = field(init=False)
@@ -139,6 +142,7 @@
             settings.answers.max_held_bytes,
             lambda limit: self.metrics.answers_dropped.labels(limit.value).inc(),
         )
+        self.request_memory = RequestMemory(ByteBudget(max_request_bytes(settings.machine.memory_mb)))
         self.forwarder = Forwarder(
             self.directory,
             self.port,
@@ -253,6 +257,12 @@
         gauge = self.metrics.gauge
         gauge("ready", "Whether new callers should come here", lambda: float(self.is_ready))
         gauge("in_flight", "Requests being answered", lambda: self.num_in_flight)
+        gauge("request_bytes", "Bytes held of requests", lambda: self.request_memory.budget.used_b)
+        gauge(
+            "requests_without_room",
+            "Requests refused since the start because too many bytes were held",
+            lambda: self.request_memory.num_refused,
+        )
         gauge(
             "configuration_version",
             "Version of the configuration in force",
--- a/src/worksramp/edge/serve.py
+++ b/src/worksramp/edge/serve.py
@@ -22,6 +22,8 @@
 
 MAX_INCOMPLETE_BYTES = 65_536
 BACKLOG = 1024
+#: Parts of a body, of 64 KB each, that the server reads ahead on one connection.
+MAX_PARTS_READ_AHEAD = 2
 DEFAULT_IDLE_TIMEOUT_SECONDS = 15.0
 GRACEFUL_TIMEOUT_SECONDS = 0.5
 IDLE_TIMEOUT_PERIOD_SECONDS = 0.5
@@ -95,6 +97,7 @@
     config.include_date_header = False
     config.h11_max_incomplete_size = MAX_INCOMPLETE_BYTES
     config.backlog = BACKLOG
+    config.max_app_queue_size = MAX_PARTS_READ_AHEAD
     config.keep_alive_timeout = DEFAULT_IDLE_TIMEOUT_SECONDS
     config.graceful_timeout = GRACEFUL_TIMEOUT_SECONDS
     return config
--- a/src/worksramp/edge/settings.py
+++ b/src/worksramp/edge/settings.py
@@ -58,15 +58,17 @@
 
 
 class MachineSettings(msgspec.Struct, frozen=True):
-    """Processor time that the machine gives to this process.
+    """Processor time and memory that the machine gives to this process.
 
     Attributes:
         cpu_share: share of each core.
         cpu_speed: speed of a core, as a multiple of an ordinary core.
+        memory_mb: memory above which the process is killed, in MB.
     """
 
     cpu_share: float = 1.0
     cpu_speed: float = 2.0
+    memory_mb: float = 128.0
 
     @property
     def num_cores(self) -> float:
@@ -122,7 +124,7 @@
         max_loading: workers that may load weights at the same time, None for a share of the fleet.
         log_level: lowest level that is logged, one of `worksramp.logs.LEVELS`.
         switched_off: names of mechanisms to switch off, to measure their effect.
-        machine: processor time of the machine.
+        machine: processor time and memory of the machine.
         bounds: time bounds of the deployment.
         answers: limits of the answers that workers send.
         duties: duties towards the platform, None for none.
@@ -208,6 +210,7 @@
         ("answers.max_held_bytes", settings.answers.max_held_bytes),
         ("machine.cpu_share", settings.machine.cpu_share),
         ("machine.cpu_speed", settings.machine.cpu_speed),
+        ("machine.memory_mb", settings.machine.memory_mb),
         ("duties.window_s", None if settings.duties is None else settings.duties.window_s),
         ("duties.usage_late_s", None if settings.duties is None else settings.duties.usage_late_s),
     ):
--- a/src/worksramp/rollout/batch_values.py
+++ b/src/worksramp/rollout/batch_values.py
@@ -5,7 +5,7 @@
 the current owner refers to.
 """
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Iterator, Sequence
 
 import msgspec
 
@@ -58,16 +58,21 @@
         Returns:
             The header with the offsets and sizes of the items, or `NotStored`.
         """
-        records = [
-            KeyedRecord(item_key(header.batch_id, index), encode(item)) for index, item in enumerate(items)
-        ]
-        outcome = await self.store.put(header.batch_id, records, timeout_s)
+        sizes_b: list[int] = []
+
+        def records() -> Iterator[KeyedRecord]:
+            for index, item in enumerate(items):
+                value = encode(item)
+                sizes_b.append(len(value))
+                yield KeyedRecord(item_key(header.batch_id, index), value)
+
+        outcome = await self.store.put(header.batch_id, records(), timeout_s)
         if isinstance(outcome, NotStored):
             return outcome
         return msgspec.structs.replace(
             header,
             item_offsets=outcome.offsets,
-            item_sizes_b=tuple(len(record.value) for record in records),
+            item_sizes_b=tuple(sizes_b),
         )
 
     async def items(self, header: BatchHeader, indices: Sequence[int]) -> dict[int, BatchItem]:
--- /dev/null
+++ b/tests/platform/test_memory_of_requests.py
@@ -0,0 +1,91 @@
+"""Large requests at the same time, which took a node over the memory of its machine."""
+
+import json
+import os
+from pathlib import Path
+from typing import Any
+
+import anyio
+import httpx
+import pytest
+
+from tests.platform.test_callers import CONFIGURATION, HOST, RECORDS, Deployment
+from tests.platform.test_callers import run_scenario as run_in_process
+from tests.platform.test_process import Running, run_scenario
+from worksramp.coordination.shared_log import KeyedRecord
+
+BODY_B = 16_000_000
+NUM_REQUESTS = 8
+#: Memory of the smallest machines of the users' deployments.
+MEMORY_MB = 128
+
+
+def config(max_body_b: int) -> KeyedRecord:
+    limits: dict[str, Any] = {**CONFIGURATION["limits"], "maxBodyBytes": max_body_b, "idleTimeoutMs": 5000}  # type: ignore[dict-item]
+    return KeyedRecord("config", json.dumps({**CONFIGURATION, "version": 2, "limits": limits}).encode())
+
+
+def peak_mb(pid: int) -> float:
+    lines = Path(f"/proc/{pid}/status").read_text().splitlines()
+    return next(int(line.split()[1]) / 1024 for line in lines if line.startswith("VmHWM:"))
+
+
+@pytest.mark.skipif(not Path("/proc/self/status").exists(), reason="reads the memory of a process in /proc")
+@pytest.mark.parametrize("has_length", [True, False], ids=["with_length", "in_chunks"])
+def test_large_requests_at_once_keep_a_node_within_the_memory_of_its_machine(
+    tmp_path: Path, has_length: bool
+) -> None:
+    statuses: list[int] = []
+    body = os.urandom(BODY_B)
+
+    async def chunks() -> Any:
+        for start in range(0, BODY_B, 64_000):
+            yield body[start : start + 64_000]
+
+    async def scenario(node: Running) -> None:
+        node.store.do_append(RECORDS.control, (config(33_554_432),), None, None)
+        await anyio.sleep(1.0)
+        async with (
+            httpx.AsyncClient(base_url=f"http://{node.front}", headers={"host": HOST}, timeout=30) as client,
+            anyio.create_task_group() as group,
+        ):
+
+            async def ask(number: int) -> None:
+                headers = {"X-Worksramp-Attempt-Id": f"r-{number}"}
+                content = body if has_length else chunks()
+                answer = await client.post(f"/checks/{number}", headers=headers, content=content)
+                statuses.append(answer.status_code)
+
+            for number in range(NUM_REQUESTS):
+                group.start_soon(ask, number)
+        assert peak_mb(node.process.pid) < MEMORY_MB
+
+    run_scenario(tmp_path, scenario)
+    # No worker of the service is there, so that each request is refused in any case.
+    assert statuses == [503] * NUM_REQUESTS
+
+
+def test_a_request_without_room_is_refused_as_not_run_and_small_ones_still_fit() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        deployment.store.do_append(RECORDS.control, (config(100_000),), None, None)
+        deployment.add_scorer()
+        with anyio.fail_after(5):
+            while deployment.node.table.current is None or deployment.node.table.current.version < 2:
+                await anyio.sleep(0.01)
+        memory = deployment.node.request_memory
+        memory.budget.max_b = 50_000
+        client = deployment.client()
+        with memory.hold() as holding:
+            await holding.reserve(45_000)
+            headers = {"X-Worksramp-Attempt-Id": "r-1"}
+            refused = await client.post("/checks/1", headers=headers, content=bytes(40_000))
+            assert refused.status_code == 503 and float(refused.headers["retry-after"]) > 0
+            assert not deployment.fleet.application.runs
+            headers = {"X-Worksramp-Attempt-Id": "r-2"}
+            assert (await client.post("/checks/2", headers=headers, content=b"abc")).status_code == 200
+        headers = {"X-Worksramp-Attempt-Id": "r-3"}
+        # The only request may be larger than all of them together may be.
+        assert (await client.post("/checks/3", headers=headers, content=bytes(90_000))).status_code == 200
+        assert memory.budget.used_b == 0 and memory.num_refused == 1
+
+    run_in_process(scenario)
