Answers that callers do not read are bounded, and broken off where others need their room

Class: a limit on a part where the whole needs one, as with bytes without an end.

Bodies that are being sent to callers have a budget of the machine's memory (machine.memory_mb). Where they are too many, those are broken off whose callers have taken nothing for longest, and for 0.5 s at least; callers that read lose nothing.

--- a/src/worksramp/edge/node.py
+++ b/src/worksramp/edge/node.py
@@ -31,10 +31,11 @@
     UnreadableRecord,
     VersionNamed,
 )
-from worksramp.edge.request_memory import ByteBudget, RequestMemory, max_request_bytes
+from worksramp.edge.request_memory import ByteBudget, RequestMemory, max_request_bytes, max_unread_bytes
 from worksramp.edge.settings import DutyKind, EdgeSettings
 from worksramp.edge.shard import BatchShard, ShardContext
 from worksramp.edge.timing import gather_seconds, lease_times, poll_seconds
+from worksramp.edge.unread_answers import UnreadAnswers
 from worksramp.edge.worker_entries import WorkerEntries
 from worksramp.mechanisms import mechanism
 from worksramp.rollout.batch_service import BatchService, ServiceTimes
@@ -91,6 +92,7 @@
         usage: counts the requests of this node, None if usage is not reported.
         held: counts the bytes of workers' answers that the node holds.
         request_memory: counts the bytes of callers' requests that the node holds.
+        unread: counts the bytes of answers that callers have not read.
         forwarder: forwards live requests.
         shard: this node's part in the shard of batches.
         batches: handles the calls of trainers about batches.
@@ -112,6 +114,7 @@
     quarantine: Quarantine = field(init=False)
     held: HeldBytes = field(init=False)
     request_memory: RequestMemory = field(init=False)
+    unread: UnreadAnswers = field(init=False)
     forwarder: Forwarder = field(init=False)
     shard: BatchShard = field(init=False)
     batches: BatchService = field(init=False)
@@ -143,6 +146,7 @@
             lambda limit: self.metrics.answers_dropped.labels(limit.value).inc(),
         )
         self.request_memory = RequestMemory(ByteBudget(max_request_bytes(settings.machine.memory_mb)))
+        self.unread = UnreadAnswers(ByteBudget(max_unread_bytes(settings.machine.memory_mb)))
         self.forwarder = Forwarder(
             self.directory,
             self.port,
@@ -257,6 +261,12 @@
         gauge = self.metrics.gauge
         gauge("ready", "Whether new callers should come here", lambda: float(self.is_ready))
         gauge("in_flight", "Requests being answered", lambda: self.num_in_flight)
+        gauge("unread_bytes", "Bytes of answers that are being sent", lambda: self.unread.budget.used_b)
+        gauge(
+            "answers_cut",
+            "Answers broken off since the start because their callers did not read them",
+            lambda: self.unread.num_cut,
+        )
         gauge("request_bytes", "Bytes held of requests", lambda: self.request_memory.budget.used_b)
         gauge(
             "requests_without_room",
--- a/src/worksramp/edge/request_memory.py
+++ b/src/worksramp/edge/request_memory.py
@@ -15,6 +15,8 @@
 #: Share of the rest for the bodies of requests. What is left is for the copies that are made of a body while
 #: it is read, and for the buffers of connections.
 REQUESTS_SHARE = 0.4
+#: Share of the rest for answers that callers have not read.
+ANSWERS_SHARE = 0.2
 #: Longest wait for room. Callers take a node that has not read a request after a second for a failed one.
 MAX_WAIT_S = 0.5
 
@@ -58,7 +60,16 @@
 
 def max_request_bytes(memory_mb: float) -> int:
     """Return how many bytes of requests a node may hold on a machine with this memory."""
-    return int(REQUESTS_SHARE * max(memory_mb - NODE_MEMORY_MB, MIN_SHARED_MB) * MB)
+    return int(REQUESTS_SHARE * _shared_b(memory_mb))
+
+
+def max_unread_bytes(memory_mb: float) -> int:
+    """Return how many bytes of unread answers a node may hold on a machine with this memory."""
+    return int(ANSWERS_SHARE * _shared_b(memory_mb))
+
+
+def _shared_b(memory_mb: float) -> float:
+    return max(memory_mb - NODE_MEMORY_MB, MIN_SHARED_MB) * MB
 
 
 @dataclass(eq=False, slots=True)
--- a/tests/platform/test_memory_of_requests.py
+++ b/tests/platform/test_memory_of_requests.py
@@ -1,5 +1,6 @@
 """Large requests at the same time, which took a node over the memory of its machine."""
 
+import base64
 import json
 import os
 from pathlib import Path
@@ -9,10 +10,11 @@
 import httpx
 import pytest
 
-from tests.platform.test_callers import CONFIGURATION, HOST, RECORDS, Deployment
+from tests.platform.test_callers import CONFIGURATION, HOST, RECORDS, Deployment, lot
 from tests.platform.test_callers import run_scenario as run_in_process
 from tests.platform.test_process import Running, run_scenario
 from worksramp.coordination.shared_log import KeyedRecord
+from worksramp.edge.asgi import Message
 
 BODY_B = 16_000_000
 NUM_REQUESTS = 8
@@ -89,3 +91,52 @@
         assert memory.budget.used_b == 0 and memory.num_refused == 1
 
     run_in_process(scenario)
+
+
+def test_bodies_of_items_that_callers_do_not_read_are_cut() -> None:
+    # Each answer that was not read was held for as long as its caller stayed.
+    pending: set[int] = set()
+    body_b, num_callers = 180_000, 40
+
+    async def scenario(deployment: Deployment) -> None:
+        deployment.store.do_append(RECORDS.control, (config(1_000_000),), None, None)
+        with anyio.fail_after(5):
+            while deployment.node.table.current is None or deployment.node.table.current.version < 2:
+                await anyio.sleep(0.01)
+        for worker in deployment.fleet.workers.values():
+            worker.is_unresponsive = True
+        body = base64.b64encode(bytes(body_b)).decode()
+        items = [{"id": "i1", "path": "/drafts/1", "headers": {}, "body": body, "tokens": 9, "group": "g"}]
+        client = deployment.client()
+        headers = {"X-Worksramp-Attempt-Id": "b1"}
+        accepted = await client.post("/drafts/x", headers=headers, json={**lot("i1"), "items": items})
+        assert accepted.status_code == 202
+        deployment.node.unread.budget.max_b = 10 * body_b
+
+        async def call(number: int) -> None:
+            async def receive() -> Message:
+                if number in pending:
+                    await anyio.sleep_forever()
+                pending.add(number)
+                return {"type": "http.request", "body": b"", "more_body": False}
+
+            async def send(message: Message) -> None:
+                if len(message.get("body", b"")) > 1000:
+                    await anyio.sleep_forever()
+
+            scope = {"type": "http", "method": "GET", "path": "/api/items/b1", "raw_path": b"/api/items/b1",
+                     "query_string": b"id=i1", "headers": [(b"host", HOST.encode())],
+                     "server": ("127.0.0.1", 8001)}  # fmt: skip
+            await deployment.api(scope, receive, send)
+            pending.discard(number)
+
+        async with anyio.create_task_group() as group:
+            for number in range(num_callers):
+                group.start_soon(call, number)
+                await anyio.sleep(0.05)
+            await anyio.sleep(0.2)
+            # Ten fit, and for half a second after its beginning none is cut: ten more come in that time.
+            assert 10 <= len(pending) <= 22
+            group.cancel_scope.cancel()
+
+    run_in_process(scenario)
