An item that runs on after its batch keeps its own host and group

The owner's process ended (KeyError) when a batch expired while items of it still ran for the next step and an item of another batch waited for its score; named by the review by reading only. The next owner is sound, as it carries nothing, so that it comes once for each such batch. Cause: work that outlives the record in which it looks up its own fields. Items hold their host and their group now, and the open items ask the ledger for nothing.

--- a/src/worksramp/rollout/batch_owner.py
+++ b/src/worksramp/rollout/batch_owner.py
@@ -155,6 +155,8 @@
                 submitted_at=batch.header.submitted_at,
                 min_version=batch.header.min_version,
                 tenant=batch.header.tenant,
+                host=batch.header.host,
+                group=batch.header.groups[index],
                 text=text,
                 clock=StageClock(since=anyio.current_time()),
             )
--- a/src/worksramp/rollout/carried_items.py
+++ b/src/worksramp/rollout/carried_items.py
@@ -47,6 +47,8 @@
             submitted_at=work.submitted_at,
             min_version=version,
             tenant=work.tenant,
+            host=work.host,
+            group=work.group,
             text=text,
             carried_until=now + START_WINDOW_SHARE * self._context.cancel_s,
             clock=StageClock(since=now),
--- a/src/worksramp/rollout/item_lister.py
+++ b/src/worksramp/rollout/item_lister.py
@@ -66,7 +66,7 @@
         logger.info(
             "item_listed",
             is_completed=result.is_completed,
-            group=self._items.group(work),
+            group=work.group,
             batch_age_s=round(age_s, 3),
             **work.log_fields(anyio.current_time()),
         )
--- a/src/worksramp/rollout/item_runner.py
+++ b/src/worksramp/rollout/item_runner.py
@@ -117,7 +117,7 @@
         outcome: RunOutcome = RunNotBegun("no_entry")
         spec = RunSpec(
             work.item,
-            self._items.host(work),
+            work.host,
             work.min_version,
             work.route.needs_one_version,
             CARRIED_URGENCY if work.is_carried else None,
--- a/src/worksramp/rollout/item_scorer.py
+++ b/src/worksramp/rollout/item_scorer.py
@@ -97,9 +97,7 @@
                 continue
             self._check_late_calls(work, route, now)
             if self._may_call(work, now):
-                waiting.append(
-                    self._unscored_item(work, route, num_unlisted[work.key[0], self._items.group(work)], now)
-                )
+                waiting.append(self._unscored_item(work, route, num_unlisted[work.key[0], work.group], now))
         for assignment in assign_calls(waiting, self._scorer_views(now) if waiting else []):
             self._start(group, self._items.works[assignment.key], assignment.worker_id, now)
 
--- a/src/worksramp/rollout/item_work.py
+++ b/src/worksramp/rollout/item_work.py
@@ -111,6 +111,8 @@
 
     Attributes:
         tenant: tenant whose batch holds the item, empty for none.
+        host: host that its batch was submitted to.
+        group: its group in its batch, empty if it has none.
         min_version: oldest weight version that may generate its text.
         avoided: workers that it must not be assigned to, each until a time.
         wait_until: it is not assigned to a worker before this time.
@@ -132,6 +134,8 @@
     min_version: int
     text: TextBuilder
     tenant: str = ""
+    host: str = ""
+    group: str = ""
     run: Run | None = None
     avoided: dict[str, float] = field(default_factory=dict)
     wait_until: float = float("-inf")
--- a/src/worksramp/rollout/open_items.py
+++ b/src/worksramp/rollout/open_items.py
@@ -85,16 +85,7 @@
 
     def num_left_by_group(self) -> Counter[tuple[str, str]]:
         """Return how many items of each batch and group are not listed as results yet."""
-        return Counter((batch_id, self.group(work)) for (batch_id, _), work in self.works.items())
-
-    def group(self, work: ItemWork) -> str:
-        """Return the group of an item, an empty string if it has none."""
-        batch_id, idx = work.key
-        return self._context.ledger.batches[batch_id].header.groups[idx]
-
-    def host(self, work: ItemWork) -> str:
-        """Return the host that the batch of an item was submitted to."""
-        return self._context.ledger.batches[work.key[0]].header.host
+        return Counter((batch_id, work.group) for (batch_id, _), work in self.works.items())
 
     def tokens_per_event(self, work: ItemWork) -> int:
         """Return how many tokens one event of an item holds, 1 if its service is not configured."""
@@ -193,7 +184,7 @@
         for work in works:
             if work.wait_until > now or table is None:
                 continue
-            route = table.match(self.host(work), work.item.target)
+            route = table.match(work.host, work.item.target)
             if route is None:
                 continue
             service = route.parts[0].service
