An owner keeps the bodies of open items up to the memory of its machine, and reads the others for each run

The same cause as with the bodies of requests, found by looking for it elsewhere: nothing bounded the bytes of the items that an owner has open. In a trial six batches of 31 MB whose items waited took an owner to 250 MB, where the smallest machines have 128; each next owner reads the same items. Bodies of 4 KB and more for which there is no room stay in the store; a run reads its body first, within 0.6 s, and looks again whether its worker may be used.

The stand-in of the store for tests answered reads without a limit of size, for which real clients refuse the answer; it keeps to max_kb now.

--- a/src/worksramp/edge/node.py
+++ b/src/worksramp/edge/node.py
@@ -31,7 +31,13 @@
     UnreadableRecord,
     VersionNamed,
 )
-from worksramp.edge.request_memory import ByteBudget, RequestMemory, max_request_bytes, max_unread_bytes
+from worksramp.edge.request_memory import (
+    ByteBudget,
+    RequestMemory,
+    max_item_bytes,
+    max_request_bytes,
+    max_unread_bytes,
+)
 from worksramp.edge.settings import DutyKind, EdgeSettings
 from worksramp.edge.shard import BatchShard, ShardContext
 from worksramp.edge.timing import gather_seconds, lease_times, poll_seconds
@@ -199,6 +205,7 @@
                 cancel_s=bounds.cancel,
                 metrics=self.metrics,
                 held=self.held,
+                max_body_b=max_item_bytes(settings.machine.memory_mb),
                 duties=self._duties(),
                 num_cores=settings.machine.num_cores,
                 may_own=lambda: self.is_ready,
--- a/src/worksramp/edge/request_memory.py
+++ b/src/worksramp/edge/request_memory.py
@@ -17,6 +17,8 @@
 REQUESTS_SHARE = 0.4
 #: Share of the rest for answers that callers have not read.
 ANSWERS_SHARE = 0.2
+#: Share of the rest for the bodies of open items, at the owner.
+ITEMS_SHARE = 0.2
 #: Longest wait for room. Callers take a node that has not read a request after a second for a failed one.
 MAX_WAIT_S = 0.5
 
@@ -68,6 +70,11 @@
     return int(ANSWERS_SHARE * _shared_b(memory_mb))
 
 
+def max_item_bytes(memory_mb: float) -> int:
+    """Return how many bytes of items' bodies an owner may keep on a machine with this memory."""
+    return int(ITEMS_SHARE * _shared_b(memory_mb))
+
+
 def _shared_b(memory_mb: float) -> float:
     return max(memory_mb - NODE_MEMORY_MB, MIN_SHARED_MB) * MB
 
--- a/src/worksramp/edge/shard.py
+++ b/src/worksramp/edge/shard.py
@@ -97,6 +97,7 @@
         metrics: metrics of this node.
         duties: duties towards the platform, None for none.
         held: counts the bytes of workers' answers that the node holds.
+        max_body_b: most bytes of items' bodies that an owner keeps in memory.
         time_of_day: returns the time in seconds that batches are stamped with.
         clock: measures the ages of the lease and the replica.
     """
@@ -122,6 +123,7 @@
     quarantine: Quarantine
     metrics: NodeMetrics
     held: HeldBytes
+    max_body_b: int
     duties: Duties | None = None
     time_of_day: Callable[[], float] = time.time
     clock: ElapsedClock = monotonic_s
@@ -361,6 +363,7 @@
                 context.metrics.item_seconds.observe,
                 lambda reason: context.metrics.item_moves.labels(reason).inc(),
                 context.held,
+                context.max_body_b,
             )
         )
         mover = VersionMover(self._mover_context(owner, writer, epoch))
--- a/src/worksramp/rollout/batch_owner.py
+++ b/src/worksramp/rollout/batch_owner.py
@@ -10,8 +10,9 @@
 import structlog
 
 from worksramp.rollout.batch_reader import BatchReader
-from worksramp.rollout.batches import Batch
+from worksramp.rollout.batches import Batch, BatchItem
 from worksramp.rollout.carried_items import CarriedItems
+from worksramp.rollout.item_bodies import ItemBodies, StoredItem
 from worksramp.rollout.item_lister import ItemLister
 from worksramp.rollout.item_runner import ItemRunner
 from worksramp.rollout.item_scorer import ItemScorer
@@ -48,10 +49,18 @@
         self._watch = RunWatch(self.items, self._pace, self._failures, context.on_moved)
         self._texts = TextKeeper(context, self.items)
         self._reader = BatchReader(context.values, context.ledger)
+        self._bodies = ItemBodies(context.values, self.items.works, context.max_body_b)
         self._results = ResultWriter(context.values.store, context.writer, context.max_record_bytes)
         self._lister = ItemLister(context, self.items, self._texts, self._results)
         self._runner = ItemRunner(
-            context, self.items, self._pace, self._failures, self._lister, self._on_text_complete, self.wake
+            context,
+            self.items,
+            self._bodies,
+            self._pace,
+            self._failures,
+            self._lister,
+            self._on_text_complete,
+            self.wake,
         )
         self._scorer = ItemScorer(context, self.items, self._failures, self._lister, self.wake)
         self._carried = CarriedItems(context, self.items)
@@ -131,16 +140,27 @@
         """Read the items of a batch that are not listed yet, and add them to the open items."""
         item_ids = batch.header.item_ids
         indices = [index for index, item_id in enumerate(item_ids) if item_id not in batch.listed]
-        items = await self._reader.items(batch, indices)
-        earlier = await self._reader.earlier_texts(
-            batch.header.tenant, (item_ids[index] for index in indices)
-        )
+        items: dict[int, BatchItem | StoredItem] = {}
+        try:
+            async for group in self._reader.item_groups(batch, indices):
+                items |= self._bodies.keep(batch_id, group)
+            await self._open_items(batch_id, batch, route, items)
+        finally:
+            self._bodies.end_opening(batch_id)
+
+    async def _open_items(
+        self, batch_id: str, batch: Batch, route: Route, items: dict[int, BatchItem | StoredItem]
+    ) -> None:
+        item_ids = batch.header.item_ids
+        earlier = await self._reader.earlier_texts(batch.header.tenant, (item_ids[index] for index in items))
         if batch.is_ended or self._is_stopping:
             return
         self.items.record_step_size(batch.header.model, len(item_ids))
         self._lister.open_batch(batch_id, batch.num_results)
         num_reused = 0
-        for index, item in items.items():
+        for index, kept_item in items.items():
+            is_stored = isinstance(kept_item, StoredItem)
+            item = kept_item.item if isinstance(kept_item, StoredItem) else kept_item
             text_id = scoped_id(batch.header.tenant, item.item_id)
             kept = self._texts.kept_text(text_id) or earlier.get(item.item_id)
             text = text_to_start_from(kept, batch, route)
@@ -157,6 +177,7 @@
                 tenant=batch.header.tenant,
                 host=batch.header.host,
                 group=batch.header.groups[index],
+                stored_in=batch.header if is_stored else None,
                 text=text,
                 clock=StageClock(since=anyio.current_time()),
             )
--- a/src/worksramp/rollout/batch_reader.py
+++ b/src/worksramp/rollout/batch_reader.py
@@ -1,6 +1,6 @@
 """Reads the items of a batch, and texts from earlier batches, when an owner opens the batch."""
 
-from collections.abc import Iterable, Iterator
+from collections.abc import AsyncIterator, Iterable, Iterator
 
 import anyio
 import structlog
@@ -26,16 +26,14 @@
         self._values = values
         self._ledger = ledger
 
-    async def items(self, batch: Batch, indices: list[int]) -> dict[int, BatchItem]:
-        """Read items, retrying until the store returns them or the batch is ended.
+    async def item_groups(self, batch: Batch, indices: list[int]) -> AsyncIterator[dict[int, BatchItem]]:
+        """Read items in groups, retrying until the store returns them or the batch is ended.
 
-        Returns:
-            Items by index; empty if the batch was ended first.
+        Yields:
+            Items by index; those that are left are missing once the batch is ended.
         """
-        items: dict[int, BatchItem] = {}
         for group in _groups(batch, indices):
-            items |= await self._items_of_group(batch, group)
-        return {} if batch.is_ended else items
+            yield await self._items_of_group(batch, group)
 
     async def _items_of_group(self, batch: Batch, indices: list[int]) -> dict[int, BatchItem]:
         while not batch.is_ended:
--- a/src/worksramp/rollout/carried_items.py
+++ b/src/worksramp/rollout/carried_items.py
@@ -49,6 +49,7 @@
             tenant=work.tenant,
             host=work.host,
             group=work.group,
+            stored_in=work.stored_in,
             text=text,
             carried_until=now + START_WINDOW_SHARE * self._context.cancel_s,
             clock=StageClock(since=now),
--- a/src/worksramp/rollout/item_runner.py
+++ b/src/worksramp/rollout/item_runner.py
@@ -22,6 +22,7 @@
     run_item,
 )
 from worksramp.rollout.batch_schedule import Assignment, assign
+from worksramp.rollout.item_bodies import ItemBodies
 from worksramp.rollout.item_lister import ItemLister
 from worksramp.rollout.item_work import (
     AVOID_AFTER_BREAK_SECONDS,
@@ -38,6 +39,8 @@
 from worksramp.routing.workers import WorkerState
 
 FAILURE_PAUSE_SECONDS = 0.1
+#: Pause of an item whose body could not be read.
+UNREAD_PAUSE_S = 0.1
 LOG_WAITING_EVERY_S = 1.0
 #: Urgency of carried items: runs of open batches, which have the workers' default of 5, displace theirs.
 CARRIED_URGENCY = 8
@@ -59,6 +62,7 @@
         self,
         context: OwnerContext,
         items: OpenItems,
+        bodies: ItemBodies,
         pace: PaceTracker,
         failures: FailureTracker,
         lister: ItemLister,
@@ -67,6 +71,7 @@
     ) -> None:
         self._context = context
         self._items = items
+        self._bodies = bodies
         self._pace = pace
         self._failures = failures
         self._lister = lister
@@ -115,14 +120,6 @@
     async def _run(self, work: ItemWork, run: Run) -> None:
         state = self._context.directory.get(run.worker_id)
         outcome: RunOutcome = RunNotBegun("no_entry")
-        spec = RunSpec(
-            work.item,
-            work.host,
-            work.min_version,
-            work.route.needs_one_version,
-            CARRIED_URGENCY if work.is_carried else None,
-            work.tenant,
-        )
 
         def record_event() -> None:
             now = anyio.current_time()
@@ -133,7 +130,7 @@
         num_events_before = len(work.text.pieces)
         if state is not None:
             with run.scope:
-                outcome = await self._run_at(state, spec, work, record_event)
+                outcome = await self._read_and_run(state, work, record_event)
             if run.scope.cancelled_caught:
                 outcome = RunBroken("moved" if run.is_moving else "closed")
         work.run = None
@@ -143,6 +140,26 @@
             self._handle_outcome(work, run, outcome, len(work.text.pieces) - num_events_before)
         self._wake()
 
+    async def _read_and_run(
+        self, state: WorkerState, work: ItemWork, record_event: Callable[[], None]
+    ) -> RunOutcome:
+        """Run an item at a worker, after its body has been read if it is not in memory."""
+        item = await self._bodies.read(work)
+        if item is None:
+            work.wait_until = anyio.current_time() + UNREAD_PAUSE_S
+            return RunNotBegun("item_not_read")
+        if not self._context.directory.is_usable(state.entry.worker_id):
+            return RunNotBegun("no_entry")
+        spec = RunSpec(
+            item,
+            work.host,
+            work.min_version,
+            work.route.needs_one_version,
+            CARRIED_URGENCY if work.is_carried else None,
+            work.tenant,
+        )
+        return await self._run_at(state, spec, work, record_event)
+
     async def _run_at(
         self, state: WorkerState, spec: RunSpec, work: ItemWork, record_event: Callable[[], None]
     ) -> RunOutcome:
--- a/src/worksramp/rollout/item_work.py
+++ b/src/worksramp/rollout/item_work.py
@@ -5,7 +5,7 @@
 import anyio
 
 from worksramp.rollout.batch_run import TextBuilder
-from worksramp.rollout.batches import Batch, BatchItem, GeneratedText
+from worksramp.rollout.batches import Batch, BatchHeader, BatchItem, GeneratedText
 from worksramp.rollout.stage_clock import StageClock
 from worksramp.routing.identity import scoped_id
 from worksramp.routing.table import Route
@@ -113,6 +113,7 @@
         tenant: tenant whose batch holds the item, empty for none.
         host: host that its batch was submitted to.
         group: its group in its batch, empty if it has none.
+        stored_in: header of its batch if its body is in the store alone, None if it is in memory.
         min_version: oldest weight version that may generate its text.
         avoided: workers that it must not be assigned to, each until a time.
         wait_until: it is not assigned to a worker before this time.
@@ -136,6 +137,7 @@
     tenant: str = ""
     host: str = ""
     group: str = ""
+    stored_in: BatchHeader | None = None
     run: Run | None = None
     avoided: dict[str, float] = field(default_factory=dict)
     wait_until: float = float("-inf")
--- a/src/worksramp/rollout/owner_context.py
+++ b/src/worksramp/rollout/owner_context.py
@@ -73,6 +73,7 @@
         on_moved: called with the reason of each move of an item to another worker.
         on_listed: called at each listing with the age of the batch in seconds.
         held: counts the bytes of workers' answers that the node holds.
+        max_body_b: most bytes of items' bodies that are kept in memory.
     """
 
     ledger: BatchLedger
@@ -93,3 +94,4 @@
     on_listed: Callable[[float], None] = _ignore
     on_moved: Callable[[str], None] = _ignore
     held: HeldBytes = field(default_factory=HeldBytes)
+    max_body_b: int = 10_000_000
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -102,7 +102,14 @@
         if start < state.first_kept:
             return 410, json.dumps({"first": state.first_kept}).encode()
         head = struct.pack(">QQ", len(state.records), state.first_kept)
-        return 200, head + b"".join(format_record(record) for record in state.records[start:])
+        limit_b = int(query.get("max_kb", "1024")) * 1024
+        answer = bytearray(head)
+        for record in state.records[start:]:
+            framed = format_record(record)
+            if len(answer) > len(head) and len(answer) + len(framed) > limit_b:
+                break
+            answer += framed
+        return 200, bytes(answer)
 
     def _newest(self, partition: Partition, query: dict[str, str], body: bytes) -> tuple[int, bytes]:
         state = self.store.state(partition)
--- a/tests/platform/test_memory_of_requests.py
+++ b/tests/platform/test_memory_of_requests.py
@@ -140,3 +140,44 @@
             group.cancel_scope.cancel()
 
     run_in_process(scenario)
+
+
+@pytest.mark.skipif(not Path("/proc/self/status").exists(), reason="reads the memory of a process in /proc")
+def test_open_items_with_long_prompts_keep_an_owner_within_the_memory_of_its_machine(tmp_path: Path) -> None:
+    # An owner held the bodies of all open items: 250 MB with six batches of 31 MB.
+    num_batches, num_items, body_b = 8, 100, 100_000
+    bodies = {
+        f"b{batch}i{number}": os.urandom(16) for batch in range(num_batches) for number in range(num_items)
+    }
+
+    async def scenario(node: Running) -> None:
+        worker = node.worker._worker
+        worker.is_unresponsive = True
+        node.store.do_append(RECORDS.control, (config(33_554_432),), None, None)
+        await anyio.sleep(1.0)
+        async with httpx.AsyncClient(
+            base_url=f"http://{node.front}", headers={"host": HOST}, timeout=30
+        ) as client:
+            for batch in range(num_batches):
+                items = [
+                    {"id": item_id, "path": "/drafts/1", "headers": {}, "tokens": 9, "group": "g",
+                     "body": base64.b64encode(start + bytes(body_b)).decode()}
+                    for item_id, start in bodies.items() if item_id.startswith(f"b{batch}i")
+                ]  # fmt: skip
+                headers = {"X-Worksramp-Attempt-Id": f"b{batch}"}
+                accepted = await client.post("/drafts/x", headers=headers, json={**lot("i1"), "items": items})
+                assert accepted.status_code == 202
+        await anyio.sleep(1.0)
+        assert peak_mb(node.process.pid) < MEMORY_MB
+        node.worker.seen.clear()
+        worker.is_unresponsive = False
+        with anyio.fail_after(30):
+            while len(seen_ids := {seen["x-worksramp-attempt-id"] for seen in node.worker.seen}) < 200:
+                await anyio.sleep(0.1)
+        # Bodies that are read again for their runs are among them.
+        assert len({item_id.partition("i")[0] for item_id in seen_ids}) > 1
+        for seen in node.worker.seen:
+            assert bytes.fromhex(seen["body"]) == bodies[seen["x-worksramp-attempt-id"]] + bytes(body_b)
+        assert peak_mb(node.process.pid) < MEMORY_MB
+
+    run_scenario(tmp_path, scenario)
--- a/tests/unit/test_value_store.py
+++ b/tests/unit/test_value_store.py
@@ -179,8 +179,10 @@
 
             group.start_soon(disturb)
             reader = BatchReader(BatchValues(values), BatchLedger())
+            read: dict[int, BatchItem] = {}
             with anyio.fail_after(20.0):
-                read = await reader.items(Batch(placed), list(range(160)))
+                async for items_of_group in reader.item_groups(Batch(placed), list(range(160))):
+                    read |= items_of_group
             group.cancel_scope.cancel()
         assert read == dict(enumerate(items))
 
