Workers are known by their answers, not by the number of entries

Callers saw 503 for each live request, and batches without a single run, for as long as seven entries of another writer stood beside three workers (whole but for the start time), or, where workers state no start time, after twelve ids with one.

Cause: which entries are those of workers was decided by counting entries.

ObservedPort reports the answers of all clients of a node. Entries unlike those that have answered are held back, and asked for a report or their health; numbers decide only until the first answer.

--- a/src/worksramp/edge/node.py
+++ b/src/worksramp/edge/node.py
@@ -25,6 +25,7 @@
 from worksramp.edge.metrics import NodeMetrics
 from worksramp.edge.node_stop import NodeStop
 from worksramp.edge.observed_log import ObservedLog
+from worksramp.edge.observed_port import ObservedPort
 from worksramp.edge.ports import (
     PlatformRecords,
     TableAccepted,
@@ -53,7 +54,7 @@
 from worksramp.routing.quarantine import Quarantine
 from worksramp.routing.table import Route, RouteTable
 from worksramp.routing.worker_port import WorkerPort
-from worksramp.routing.workers import WorkerDirectory
+from worksramp.routing.workers import WorkerDirectory, WorkerEntry
 
 BOOT_CHARACTERS = 8
 #: The caller goes to another node then.
@@ -133,6 +134,7 @@
         settings, bounds = self.settings, self.settings.bounds
         poll = poll_seconds(bounds)
         self.log = ObservedLog(self.log, self.metrics)
+        self.port = ObservedPort(self.port, lambda worker: self._entries.handle_answer(worker))
         # Crash records are in the partition of batches, which every node follows anyway. A partition of their
         # own would cost each node two more reads a second, in addition to its six.
         self.quarantine = Quarantine(
@@ -183,6 +185,7 @@
             on_change=lambda: self.shard.wake(),
             is_loaded=lambda: self._workers.is_loaded,
             service_names=lambda: None if self.table.current is None else self.table.current.service_names,
+            is_answered=self._is_worker_there,
         )
         values = BatchValues(ValueStore(self.log, self.records.values))
         self.shard = BatchShard(
@@ -350,12 +353,19 @@
             group.start_soon(self._control.follow)
             group.start_soon(self._workers.follow)
             group.start_soon(self._log_workers_loaded)
-            group.start_soon(self._entries.drop_missing)
+            group.start_soon(self._entries.watch)
             group.start_soon(self.shard.run)
             group.start_soon(self.quarantine.run)
             if self.usage is not None:
                 group.start_soon(self.usage.run)
 
+    async def _is_worker_there(self, worker: WorkerEntry) -> bool:
+        """Ask a worker for its health, or for a report where that costs no slot."""
+        table = self.table.current
+        spec = None if table is None else table.services.get(worker.service)
+        health_path = "" if spec is None or spec.models else spec.health_path
+        return await self.port.is_there(worker, health_path)
+
     async def _log_workers_loaded(self) -> None:
         await self._workers.wait_loaded()
         counts = Counter(state.entry.service for state in self.directory.all_states())
--- a/src/worksramp/edge/worker_entries.py
+++ b/src/worksramp/edge/worker_entries.py
@@ -1,9 +1,10 @@
 """Keep the directory of workers up to date as their entries in the store change."""
 
-from collections.abc import Callable, Collection
+from collections.abc import Awaitable, Callable, Collection
 from dataclasses import dataclass, field
 
 import anyio
+import anyio.abc
 import structlog
 
 from worksramp.edge.ports import RecordFault, UnreadableRecord, WorkerEvent, WorkerGone, WorkerSeen
@@ -11,7 +12,7 @@
 from worksramp.routing.quarantine import Quarantine
 from worksramp.routing.workers import START_UNKNOWN, WorkerDirectory, WorkerEntry
 
-DROP_TICK_SECONDS = 0.05
+TICK_SECONDS = 0.05
 #: An entry that is removed this soon after an outage of the store is taken to have expired because of it.
 OUTAGE_GRACE_SECONDS = 1.0
 #: According to the users, workers write their expired entries again within this time after an outage of the
@@ -21,9 +22,35 @@
 #: one of these is used again or is gone.
 MAX_LOGGED_FAULTS = 256
 
+#: Refused entries whose workers are asked at the same time; an address of another writer may stay silent.
+MAX_CHECKS = 16
+#: Pause after the first check without an answer. It grows by the factor after each further one.
+FIRST_CHECK_PAUSE_S = 0.25
+CHECK_PAUSE_FACTOR = 4.0
+MAX_CHECK_PAUSE_S = 60.0
+
 logger = structlog.get_logger()
 
 
+async def _never_answers(entry: WorkerEntry) -> bool:
+    return False
+
+
+@dataclass(slots=True)
+class _HeldBack:
+    """An entry that is refused only for stating a start time, or stating none.
+
+    Attributes:
+        check_at: when to ask at its address whether its worker is there.
+        pause_s: pause after the next check that gets no answer.
+    """
+
+    entry: WorkerEntry
+    check_at: float = float("-inf")
+    pause_s: float = FIRST_CHECK_PAUSE_S
+    is_checked_now: bool = False
+
+
 @dataclass(slots=True)
 class WorkerEntries:
     """Apply changes of workers' entries to the directory of workers.
@@ -36,6 +63,7 @@
         on_change: called after each change.
         is_loaded: returns whether the entries have been loaded once; the first load is logged as a whole.
         service_names: returns the services that the configuration names, None while there is none.
+        is_answered: asks at the address of an entry, and returns whether the worker of its id has answered.
     """
 
     directory: WorkerDirectory
@@ -45,12 +73,13 @@
     on_change: Callable[[], None]
     is_loaded: Callable[[], bool] = lambda: True
     service_names: Callable[[], Collection[str] | None] = lambda: None
+    is_answered: Callable[[WorkerEntry], Awaitable[bool]] = _never_answers
     _logged_faults: dict[str, RecordFault] = field(default_factory=dict)
     _is_log_full: bool = False
-    #: Entries that are refused only for stating a start time, or stating none.
-    _held_back: dict[str, WorkerEntry] = field(default_factory=dict)
+    _held_back: dict[str, _HeldBack] = field(default_factory=dict)
+    _num_checks: int = 0
     _starts: StartTimes = field(default_factory=StartTimes)
-    _were_starts_stated: bool = True
+    _kinds: frozenset[bool] = frozenset([True])
 
     def apply(self, event: WorkerEvent) -> None:
         """Apply a change of one entry; one that cannot be used does not affect other workers."""
@@ -69,25 +98,81 @@
         self._apply_start_times()
         self.on_change()
 
-    async def drop_missing(self) -> None:
-        """Remove workers whose entries expired in an outage and were not written again, until cancelled."""
-        while True:
-            await anyio.sleep(DROP_TICK_SECONDS)
-            if self.store_recovery_age() < REWRITE_GRACE_S:
-                continue
-            for worker_id in self.directory.missing_since(anyio.current_time()):
-                logger.info("worker_dropped", worker=worker_id)
-                self.directory.remove(worker_id)
-                self._held_back.pop(worker_id, None)
-                self.on_change()
+    def handle_answer(self, entry: WorkerEntry) -> None:
+        """Use the entry of a worker that has answered under its id, whatever the others state."""
+        if not self._starts.record_answer(entry.worker_id, _has_start(entry)):
+            return
+        logger.debug("worker_answered", worker=entry.worker_id, started_ms=entry.started_ms)
+        held = self._held_back.get(entry.worker_id)
+        if held is not None and self._is_of_worker(held.entry):
+            del self._held_back[entry.worker_id]
+            self._apply_entry(held.entry)
+            self.on_change()
+        if self._apply_start_times():
+            self.on_change()
+
+    async def watch(self) -> None:
+        """Remove workers that do not come back after an outage, and check refused ones, until cancelled."""
+        async with anyio.create_task_group() as group:
+            while True:
+                await anyio.sleep(TICK_SECONDS)
+                self._drop_missing()
+                self._start_checks(group)
+
+    def _drop_missing(self) -> None:
+        """Remove workers whose entries expired in an outage and were not written again."""
+        if self.store_recovery_age() < REWRITE_GRACE_S:
+            return
+        for worker_id in self.directory.missing_since(anyio.current_time()):
+            logger.info("worker_dropped", worker=worker_id)
+            self._remove(worker_id)
+            self.on_change()
+
+    def _start_checks(self, group: anyio.abc.TaskGroup) -> None:
+        now = anyio.current_time()
+        due = [held for held in self._held_back.values() if held.check_at <= now and not held.is_checked_now]
+        # Those that were asked least often come first.
+        due.sort(key=lambda held: (held.pause_s, held.check_at))
+        for held in due[: MAX_CHECKS - self._num_checks]:
+            held.is_checked_now = True
+            self._num_checks += 1
+            group.start_soon(self._check, held)
+
+    async def _check(self, held: _HeldBack) -> None:
+        """Ask whether the worker of a refused entry is there; ask again later if nobody answers."""
+        entry = held.entry
+        try:
+            has_answered = await self.is_answered(entry)
+        finally:
+            self._num_checks -= 1
+            held.is_checked_now = False
+        log = logger.info if has_answered else logger.debug
+        log(
+            "entry_checked",
+            worker=entry.worker_id,
+            address=entry.address,
+            started_ms=entry.started_ms,
+            has_answered=has_answered,
+            pause_s=held.pause_s,
+        )
+        held.check_at = anyio.current_time() + held.pause_s
+        held.pause_s = min(MAX_CHECK_PAUSE_S, CHECK_PAUSE_FACTOR * held.pause_s)
+        if has_answered:
+            self.handle_answer(entry)
+
+    def _remove(self, worker_id: str) -> None:
+        """Remove a worker whose entry is gone for good."""
+        self._held_back.pop(worker_id, None)
+        self._starts.remove(worker_id)
+        self.directory.remove(worker_id)
 
     def _apply_seen(self, entry: WorkerEntry) -> None:
-        self._held_back.pop(entry.worker_id, None)
-        self._starts.put(entry.worker_id, entry.service, entry.started_ms != START_UNKNOWN)
+        self._starts.put(entry.worker_id, entry.service, _has_start(entry))
         self._apply_start_times()
         if not self._is_of_worker(entry):
             self._hold_back(entry)
             return
+        self._held_back.pop(entry.worker_id, None)
         self._apply_entry(entry)
 
     def _apply_entry(self, entry: WorkerEntry) -> None:
@@ -119,25 +204,36 @@
         )
 
     def _is_of_worker(self, entry: WorkerEntry) -> bool:
-        return (entry.started_ms != START_UNKNOWN) == self._were_starts_stated
+        has_start = _has_start(entry)
+        return has_start in self._kinds or self._starts.has_answered(entry.worker_id, has_start)
 
-    def _apply_start_times(self) -> None:
-        """Use the entries of the kind that workers have now, and refuse the others."""
-        are_stated = self._starts.are_stated(self.service_names() or None)
-        if are_stated == self._were_starts_stated:
-            return
-        self._were_starts_stated = are_stated
-        entries = list(self._held_back.values())
-        self._held_back.clear()
+    def _apply_start_times(self) -> bool:
+        """Use the entries of the kinds that workers have now, and refuse the others.
+
+        Returns:
+            Whether the kinds have changed.
+        """
+        kinds = self._starts.kinds_of_workers(self.service_names() or None)
+        if kinds == self._kinds:
+            return False
+        self._kinds = kinds
+        logger.info("entry_kinds_changed", with_start=True in kinds, without_start=False in kinds)
         for state in self.directory.all_states():
-            self._hold_back(state.entry)
-        for entry in entries:
-            self._apply_entry(entry)
+            if not self._is_of_worker(state.entry):
+                self._hold_back(state.entry)
+        for held in [held for held in self._held_back.values() if self._is_of_worker(held.entry)]:
+            del self._held_back[held.entry.worker_id]
+            self._apply_entry(held.entry)
+        return True
 
     def _hold_back(self, entry: WorkerEntry) -> None:
         """Refuse an entry that states a start time, or states none, unlike those of workers."""
-        self._held_back[entry.worker_id] = entry
-        reason = "a start time" if entry.started_ms != START_UNKNOWN else "no start time"
+        held = self._held_back.get(entry.worker_id)
+        if held is not None and _is_same_start(held.entry, entry):
+            held.entry = entry
+        else:
+            self._held_back[entry.worker_id] = _HeldBack(entry)
+        reason = "a start time" if _has_start(entry) else "no start time"
         self._refuse(
             UnreadableRecord(entry.worker_id, f"{reason}, unlike other entries", RecordFault.BAD_VALUE)
         )
@@ -149,14 +245,12 @@
         write them again within about two seconds; the entries of other workers do not return.
         """
         was_outage = self.store_recovery_age() < OUTAGE_GRACE_SECONDS
-        self._starts.remove(worker_id)
         self._logged_faults.pop(worker_id, None)
         logger.info("worker_gone", worker=worker_id, is_kept=was_outage)
         if was_outage and self.directory.get(worker_id) is not None:
             self.directory.mark_missing(worker_id, anyio.current_time())
             return
-        self._held_back.pop(worker_id, None)
-        self.directory.remove(worker_id)
+        self._remove(worker_id)
         if not was_outage:
             self.quarantine.handle_worker_gone(worker_id)
 
@@ -174,3 +268,11 @@
         self._is_log_full = False
         self._logged_faults[event.key] = event.fault
         logger.warning("entry_refused", worker=event.key, fault=event.fault.value, reason=event.reason)
+
+
+def _has_start(entry: WorkerEntry) -> bool:
+    return entry.started_ms != START_UNKNOWN
+
+
+def _is_same_start(one: WorkerEntry, other: WorkerEntry) -> bool:
+    return (one.address, one.started_ms) == (other.address, other.started_ms)
--- a/src/worksramp/routing/table.py
+++ b/src/worksramp/routing/table.py
@@ -104,6 +104,7 @@
         num_memory_tokens: memory of a worker in tokens; 0 if it has none.
         tokens_per_event: tokens per event of a stream.
         scaling: what may be ordered; None if the number of workers is not the system's to set.
+        health_path: path at which a worker states whether it is well, empty if there is none.
     """
 
     name: str
@@ -113,6 +114,7 @@
     num_memory_tokens: int = 0
     tokens_per_event: int = 1
     scaling: ScalingLimits | None = None
+    health_path: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/worksramp/routing/worker_port.py
+++ b/src/worksramp/routing/worker_port.py
@@ -173,6 +173,11 @@
     num_waiting: int
     num_running: int
 
+    @property
+    def is_of_worker(self) -> bool:
+        """Whether only a worker can have written it: one that names no model may be of any HTTP server."""
+        return bool(self.model_versions)
+
 
 class WorkerPort(ABC):
     """Interface for calls to workers."""
@@ -201,3 +206,11 @@
     @abstractmethod
     async def report(self, worker: WorkerEntry) -> WorkerReport | None:
         """Return a worker's report, or None if none arrived."""
+
+    @abstractmethod
+    async def is_there(self, worker: WorkerEntry, health_path: str) -> bool:
+        """Return whether the worker of an entry answers at its address under its id.
+
+        Args:
+            health_path: path of the health check of its service, empty to ask for a report instead.
+        """
--- a/src/worksramp_emulator/batch_fleet.py
+++ b/src/worksramp_emulator/batch_fleet.py
@@ -345,3 +345,8 @@
         return WorkerReport(
             dict(target.versions), bool(target.loading), target.order_sequence, 0, target.num_running
         )
+
+    async def is_there(self, worker: WorkerEntry, health_path: str) -> bool:
+        """Return whether a worker answers."""
+        report = await self.report(worker)
+        return report is not None and report.is_of_worker
--- a/tests/unit/test_forward.py
+++ b/tests/unit/test_forward.py
@@ -94,6 +94,9 @@
     async def report(self, worker: WorkerEntry) -> WorkerReport | None:
         raise NotImplementedError
 
+    async def is_there(self, worker: WorkerEntry, health_path: str) -> bool:
+        raise NotImplementedError
+
 
 def route(kind: RouteKind, max_attempts: int = 2, is_resumable: bool = False) -> Route:
     return Route(
