Entries that never answer are tried more and more rarely

A worker that fails before it has ever answered is avoided for 0.5 s, then twice as long each time up to 4 s, the users' time to be in touch. A later attempt of a request goes to a worker that has answered, if one is not avoided. Tests: two of test_worker_choice, which need attributes that the code before lacks.

--- a/tests/unit/test_worker_choice.py
+++ b/tests/unit/test_worker_choice.py
@@ -77,3 +77,46 @@
         assert chosen(choice) == preferred.entry.worker_id
 
     run_simulated(main, 1)
+
+
+# Entries of another writer that look like those of workers got requests twice a second each, for ever.
+def test_an_entry_whose_worker_never_answers_is_tried_more_and_more_rarely() -> None:
+    def tries(has_answered: bool) -> int:
+        num_tries = 0
+
+        async def main() -> None:
+            nonlocal num_tries
+            worker = directory(1).get("w0")
+            assert worker is not None
+            worker.has_answered = has_answered
+            while anyio.current_time() < 30.0:
+                if worker.avoid_until <= anyio.current_time():
+                    num_tries += 1
+                    worker.avoid_after_failure(anyio.current_time(), 0.5)
+                await anyio.sleep(0.05)
+
+        run_simulated(main, 1)
+        return num_tries
+
+    assert tries(has_answered=True) >= 50
+    assert 9 <= tries(has_answered=False) <= 11
+
+
+# With ten such entries beside one worker, the second attempt of a request met another of them.
+def test_a_second_attempt_goes_to_a_worker_that_has_answered() -> None:
+    def work() -> None:
+        for seed in range(50):
+            workers = directory(11)
+            choice = WorkerChoice(workers, random.Random(seed), f"node-{seed}")
+            first = choice.choose("app", AttemptHistory())
+            assert first is not None
+            proven = workers.get("w3" if first.entry.worker_id != "w3" else "w4")
+            assert proven is not None
+            proven.has_answered = True
+            history = AttemptHistory()
+            history.begin_attempt(first)
+            assert choice.choose("app", history) is proven
+            history.begin_attempt(proven)
+            assert choice.choose("app", history) is not None
+
+    at_time(0.0, work)
