A stop counts from the arrival of its signal

Python runs the handler of a signal between two steps of whatever runs, so it knows the time of arrival; SignalInbox keeps it, and the stop begins there.

--- a/src/worksramp/edge/node.py
+++ b/src/worksramp/edge/node.py
@@ -386,15 +386,23 @@
         logger.warning("request_given_up_for_stop", request_id=request.request_id)
         return MayHaveRun("stopping", is_late=False)
 
-    async def stop(self) -> None:
+    async def stop(self, signal_age_s: float = 0.0) -> None:
         """Release the shard, serve until callers are sent to other nodes, and finish requests in flight.
 
         Returns before the platform kills the process at the end of the grace period, even if requests are
         still in flight.
+
+        Args:
+            signal_age_s: time since the signal to stop, from which the platform counts the grace period.
         """
-        started_at = anyio.current_time()
+        started_at = anyio.current_time() - signal_age_s
         self.stopping.begin(started_at, self.settings.bounds.grace)
-        logger.info("stopping", num_in_flight=self.num_in_flight, is_owner=self.shard.is_owner)
+        logger.info(
+            "stopping",
+            num_in_flight=self.num_in_flight,
+            is_owner=self.shard.is_owner,
+            signal_age_s=round(signal_age_s, 3),
+        )
         await self.shard.stop()
         while anyio.current_time() < self.stopping.ends_at:
             if anyio.current_time() >= self.stopping.leaves_at and self.num_in_flight == 0:
--- a/src/worksramp/edge/node_stop.py
+++ b/src/worksramp/edge/node_stop.py
@@ -10,7 +10,7 @@
 #: The platform polls readiness about once a second and stops sending callers after two misses.
 LEAVE_S = 3.2
 #: Requests that are sent within 3 s of the signal may be cut by the end of the node, later ones may not. The
-#: margin is for the time until the node has handled the signal.
+#: margin is for the time until the signal has arrived.
 TAKE_ALL_S = 2.8
 #: Share of the grace period after which the node no longer waits for requests in flight. The rest is left for
 #: their answers.
@@ -41,6 +41,7 @@
         """Begin the stop; requests in flight are limited from now on.
 
         Args:
+            now: when the signal to stop arrived.
             grace_s: time after which the platform kills the process.
         """
         self.leaves_at = now + min(LEAVE_S, grace_s / 2)
--- a/src/worksramp/edge/serve.py
+++ b/src/worksramp/edge/serve.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import signal
+import time
 from collections.abc import Awaitable, Callable
 from functools import partial
 
@@ -77,7 +78,7 @@
         )
         group.start_soon(_handle_signals, node, signals, read_settings, stop_requested)
         await stop_requested.wait()
-        await node.stop()
+        await node.stop(_stop_age_s(signals))
         http_stop.set()
         with anyio.move_on_after(2 * GRACEFUL_TIMEOUT_SECONDS):
             await http_stopped.wait()
@@ -131,6 +132,11 @@
         signals.notify(None)
 
 
+def _stop_age_s(signals: SignalInbox) -> float:
+    """Return how many seconds ago the signal to stop arrived."""
+    return 0.0 if signals.stop_arrived_at is None else time.monotonic() - signals.stop_arrived_at
+
+
 async def _next_signal(signals: SignalInbox) -> signal.Signals:
     loop = asyncio.get_running_loop()
     while True:
--- a/src/worksramp/signals.py
+++ b/src/worksramp/signals.py
@@ -4,6 +4,7 @@
 """
 
 import signal
+import time
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
@@ -14,9 +15,15 @@
 
 
 class SignalInbox:
-    """Signals that have arrived and are not handled yet, each kind once, in order of arrival."""
+    """Signals that have arrived and are not handled yet, each kind once, in order of arrival.
+
+    Attributes:
+        stop_arrived_at: when the first signal to stop arrived, in seconds of the monotonic clock, or None.
+            A busy event loop handles it later.
+    """
 
     def __init__(self) -> None:
+        self.stop_arrived_at: float | None = None
         self._pending: dict[int, None] = {}
         self._on_arrival: Callable[[], object] | None = None
 
@@ -47,5 +54,7 @@
 
     def _keep(self, number: int, frame: "FrameType | None") -> None:
         self._pending[number] = None
+        if number != signal.SIGHUP and self.stop_arrived_at is None:
+            self.stop_arrived_at = time.monotonic()
         if self._on_arrival is not None:
             self._on_arrival()
--- a/tests/unit/test_node_stop.py
+++ b/tests/unit/test_node_stop.py
@@ -5,7 +5,8 @@
 import anyio
 import pytest
 
-from worksramp.edge.node_stop import NodeStop
+from worksramp.edge.node_stop import TAKE_ALL_S, NodeStop
+from worksramp_emulator.simulation.batch_world import BatchWorld, BatchWorldSpec
 from worksramp_emulator.simulation.clock import run_simulated
 
 GRACE_S = 8.0
@@ -83,3 +84,23 @@
         return anyio.current_time() - started_at
 
     assert run_simulated(main, 1) == pytest.approx(600.0)
+
+
+def test_the_times_of_a_stop_count_from_its_signal() -> None:
+    # Requests of any length were taken until 2.8 s after the signal had been handled, however late that was.
+    async def main() -> tuple[float, float, float]:
+        async with anyio.create_task_group() as group:
+            world = BatchWorld(BatchWorldSpec(num_nodes=1), 1, group)
+            await world.start()
+            node = world.slots[0].node
+            assert node is not None
+            arrived_at = anyio.current_time()
+            await anyio.sleep(1.5)
+            await node.stop(anyio.current_time() - arrived_at)
+            stopping, grace_s = node.stopping, node.settings.bounds.grace
+            group.cancel_scope.cancel()
+        return stopping.takes_all_until - arrived_at, stopping.ends_at - arrived_at, grace_s
+
+    takes_all_s, ends_s, grace_s = run_simulated(main, 1)
+    assert takes_all_s == pytest.approx(min(TAKE_ALL_S, grace_s / 2))
+    assert ends_s == pytest.approx(0.85 * grace_s)
