Loads of many pages go on at the page that failed

With each seventh call refused, 20 pages were never read; a node that starts then is never ready, and a new owner never begins. A store that throttles gets the more reads for it.

Beside it: a later page of a copy of the store that lags behind the first page was used, and what it missed was never read, since the log is followed from the first page's end.

NewestReading keeps what has been read and goes on behind it; it refuses a page that ends before the first one did. One module in place of two loops. Right after a pause too: changes since the first page are in the log behind its end, and if that is gone, the copy is loaded anew as before.

Found by reading, no caller has reported it.

--- a/src/worksramp/coordination/keyed_replica.py
+++ b/src/worksramp/coordination/keyed_replica.py
@@ -14,6 +14,7 @@
 import structlog
 
 from worksramp.coordination.elapsed import ElapsedClock, monotonic_s
+from worksramp.coordination.newest_reading import NewestReading
 from worksramp.coordination.shared_log import (
     LogUnavailableError,
     Partition,
@@ -100,6 +101,8 @@
         self._is_gathering = False
         self._num_waiters = 0
         self._pause_factor = 1.0
+        self._loading: NewestReading | None = None
+        self._load_started = float("-inf")
 
     @property
     def is_loaded(self) -> bool:
@@ -225,6 +228,7 @@
             )
             await self._load()
             return True
+        self._loading = None
         # Done before the changes are applied, since their meaning may depend on whether an outage just ended.
         self._set_reachable(True, "")
         for number, record in enumerate(answer.records, 1):
@@ -244,22 +248,21 @@
 
     async def _load(self) -> None:
         """Load the newest record of every key; later reads continue from the end given by the first page."""
-        started = self._clock()
-        page = await self._log.newest(self._partition, None)
-        first_end = page.end
-        if self.position is not None and first_end < self.position:
-            raise LogUnavailableError("newest", self._partition.topic, "the answer is older than the copy")
-        records = list(page.records)
-        while page.next_after is not None:
-            page = await self._log.newest(self._partition, page.next_after)
-            records += page.records
+        if self._loading is None:
+            self._loading = NewestReading(self._log, self._partition, self.position or 0)
+            self._load_started = self._clock()
+        # After a failed page, the next call goes on from there.
+        await self._loading.finish()
+        records, first_end = self._loading.records, self._loading.end
+        assert first_end is not None
+        self._loading = None
         self._set_reachable(True, "")
         # Applied in one go and in order of offset, so that no reader sees a part of related records.
         for record in sorted(records, key=lambda record: record.offset):
             self._apply(record)
         self._remove_missing({record.key for record in records}, first_end)
         self.position = first_end
-        self._confirmed_at = started
+        self._confirmed_at = self._load_started
         self._notify_changed()
 
     def _remove_missing(self, seen: set[str], end: int) -> None:
--- a/src/worksramp/coordination/value_store.py
+++ b/src/worksramp/coordination/value_store.py
@@ -12,6 +12,7 @@
 
 import anyio
 
+from worksramp.coordination.newest_reading import NewestReading
 from worksramp.coordination.shared_log import (
     Appended,
     AppendOutcome,
@@ -220,24 +221,9 @@
                 break
         return found
 
-    async def newest_values(self, group: str) -> dict[str, bytes]:
-        """Read the newest value of each key in a group's partition.
-
-        Raises:
-            ValuesUnavailableError: not all of them can be read at present.
-        """
-        partition = self.partition_of(group)
-        values: dict[str, bytes] = {}
-        after: str | None = None
-        try:
-            while True:
-                page = await self.log.newest(partition, after)
-                values |= {record.key: record.value for record in page.records}
-                after = page.next_after
-                if after is None:
-                    return values
-        except LogUnavailableError as error:
-            raise ValuesUnavailableError(error.step, str(partition), error.reason) from error
+    def read_newest(self, group: str) -> NewestReading:
+        """Return a reading, not yet begun, of the newest value of each key in a group's partition."""
+        return NewestReading(self.log, self.partition_of(group))
 
 
 def _key_before(key: str) -> str:
--- a/src/worksramp/rollout/text_keeper.py
+++ b/src/worksramp/rollout/text_keeper.py
@@ -10,8 +10,8 @@
 import msgspec
 import structlog
 
-from worksramp.coordination.shared_log import KeyedRecord
-from worksramp.coordination.value_store import NotStored, ValuesUnavailableError
+from worksramp.coordination.shared_log import KeyedRecord, LogUnavailableError
+from worksramp.coordination.value_store import NotStored
 from worksramp.mechanisms import mechanism
 from worksramp.rollout.batch_run import EVENT_OVERHEAD_B, piece_size_b
 from worksramp.rollout.batch_values import value_tombstones
@@ -55,15 +55,17 @@
 
     async def load(self) -> None:
         """Read the texts that former owners stored, retrying until the read succeeds."""
-        while True:
+        reading = self._context.progress.read_newest(PROGRESS_GROUP)
+        while not reading.is_finished:
             try:
-                values = await self._context.progress.newest_values(PROGRESS_GROUP)
-                break
-            except ValuesUnavailableError as error:
-                logger.warning("texts_not_read", reason=str(error))
-            await anyio.sleep(LOAD_RETRY_SECONDS)
+                await reading.finish()
+            except LogUnavailableError as error:
+                logger.warning("texts_not_read", num_read=len(reading.records), reason=str(error))
+                await anyio.sleep(LOAD_RETRY_SECONDS)
         self._from_former_owners = {
-            key.removeprefix(KEY_PREFIX): value for key, value in values.items() if key.startswith(KEY_PREFIX)
+            record.key.removeprefix(KEY_PREFIX): record.value
+            for record in reading.records
+            if record.key.startswith(KEY_PREFIX)
         }
         self._stored = set(self._from_former_owners)
 
