--- a/src/worksramp/coordination/configuration_service.py
+++ b/src/worksramp/coordination/configuration_service.py
@@ -185,6 +185,8 @@
             if end_offset == 0:
                 return
             page = await self._log.read(SNAPSHOT_STREAM, end_offset - 1, 1, 0.0)
+            if not page.records:
+                raise StepError("snapshot.read", SNAPSHOT_STREAM, f"no record at offset {end_offset - 1}")
             self._apply_snapshot(msgspec.msgpack.decode(page.records[0], type=ConfigurationSnapshot))
         except (StepError, msgspec.DecodeError) as error:
             # Reading the stream from offset 0 gives the same state, only more slowly.
--- a/src/worksramp/coordination/replica.py
+++ b/src/worksramp/coordination/replica.py
@@ -307,6 +307,8 @@
         if end_offset == 0:
             return None
         page = await self._log.read(name, end_offset - 1, 1, 0.0)
+        if not page.records:
+            return None
         try:
             return msgspec.msgpack.decode(page.records[0], type=Snapshot)
         except msgspec.DecodeError:
