A number that is no status of HTTP is no answer

Checked here with fifteen forms at each client of the process: 000, 001, 099, other lengths, signs and letters reached nobody. 600, 777 and 999 with the call's own id reached the client as the answer of its request (plain, streamed, resumed, and through an application of the gateway role); an order answered so counted as refused, though nothing says that it was not carried out. 100, 101 and 199 as final answers left the request waiting for its deadline.

Cause: each client decided for itself which numbers are answers.

--- a/src/worksramp/backends/http.py
+++ b/src/worksramp/backends/http.py
@@ -31,6 +31,7 @@
     WorkerReport,
 )
 from worksramp.outcomes import InterruptedStepError, NotStartedError
+from worksramp.statuses import is_final
 
 CONNECT_TIMEOUT_SECONDS = 1.0
 REPLY_TIMEOUT_SECONDS = 5.0
@@ -87,8 +88,15 @@
         raise InterruptedStepError(step, peer, f"malformed reply: {error}") from error
 
 
+def _check_status(step: str, peer: str, status: int) -> None:
+    """Raise the step error for a number that is no status, whatever the answer says besides."""
+    if not is_final(status):
+        raise InterruptedStepError(step, peer, f"status {status} is none of HTTP")
+
+
 def _raise_for_refusal(step: str, peer: str, status: int, body: bytes, retry_after: str | None) -> None:
     """Raise the step error for an error status; do nothing for other statuses."""
+    _check_status(step, peer, status)
     if status < httpx.codes.BAD_REQUEST:
         return
     try:
@@ -236,6 +244,7 @@
             response = await self._client.request(
                 request.method, url, content=request.body, headers=headers, timeout=timeout
             )
+        _check_status(step, address, response.status_code)
         if response.status_code == httpx.codes.SERVICE_UNAVAILABLE:
             retry_after = response.headers.get("retry-after")
             _raise_for_refusal(step, address, response.status_code, response.content, retry_after)
--- a/src/worksramp/connections/answers.py
+++ b/src/worksramp/connections/answers.py
@@ -8,6 +8,8 @@
 
 import h11
 
+from worksramp.statuses import SWITCHING_PROTOCOLS, is_final
+
 MAX_HEAD_B = 100 * 1024
 #: More answers than a caller can have caused; each has to be read before the call's own.
 MAX_SURPLUS_ANSWERS = 64
@@ -185,7 +187,7 @@
     def _handle(self, event: object) -> ReaderEvent | None:
         match event:
             case h11.InformationalResponse():
-                self._count_interim()
+                self._handle_interim(event)
                 return None
             case h11.Response():
                 return self._handle_head(event)
@@ -196,7 +198,12 @@
             case _:
                 raise AnswerError("connection closed without an answer")
 
-    def _count_interim(self) -> None:
+    def _handle_interim(self, head: h11.InformationalResponse) -> None:
+        """Skip an interim answer; one that cannot be one will have no answer behind it."""
+        if head.status_code == SWITCHING_PROTOCOLS:
+            raise AnswerError("protocol switched without a request for it")
+        if _has_length(head):
+            raise AnswerError(f"interim answer with a body, status {head.status_code}")
         self._num_interim += 1
         if self._num_interim > MAX_INTERIM_ANSWERS:
             raise AnswerError("interim answers without an end")
@@ -209,10 +216,9 @@
             raise AnswerError(f"answer names several calls: {sorted(ids)[:2]!r}")
         call_id = next(iter(ids), None)
         if self._call is not None:
-            if call_id == self._call.call_id:
-                return AnswerHead(head.status_code, head.headers.raw_items(), is_named=True)
-            if call_id is None and self._call.may_be_unnamed:
-                return AnswerHead(head.status_code, head.headers.raw_items(), is_named=False)
+            is_named = call_id == self._call.call_id
+            if is_named or (call_id is None and self._call.may_be_unnamed):
+                return _own_head(head, is_named)
         if call_id is None:
             raise AnswerError(f"answer without an id, status {head.status_code}")
         is_bodiless_call = self._call is not None and self._call.method in METHODS_WITHOUT_BODY
@@ -267,7 +273,13 @@
     return parser
 
 
-def _has_length(head: h11.Response) -> bool:
+def _own_head(head: h11.Response, is_named: bool) -> AnswerHead:
+    if not is_final(head.status_code):
+        raise AnswerError(f"status {head.status_code} is none of HTTP")
+    return AnswerHead(head.status_code, head.headers.raw_items(), is_named)
+
+
+def _has_length(head: h11.Response | h11.InformationalResponse) -> bool:
     """Return whether an answer has an end of its own; any other lasts until its connection is closed."""
     names = {name for name, _ in head.headers}
     return head.status_code in STATUSES_WITHOUT_BODY or bool(
