The soak leaves entries of another writer among those of the workers

The soak of real processes had workers that answer twice and signals, but no writer besides the workers. So nodes start, stop and are killed beside them.

--- a/src/worksramp_emulator/cli.py
+++ b/src/worksramp_emulator/cli.py
@@ -132,19 +132,23 @@
         out: str = "",
         trouble: str = "on",
         signals: bool = False,
+        foreign: bool = False,
         words: str = "deploy/soak.toml",
     ) -> None:
         """Run real nodes on loopback before workers that answer twice, and check what all others saw.
 
         Logs, schedule and verdict go into the folder ``--out``, by default a folder of the seed under
         ``target/soak``. The exit code is 1 if a promise was broken. ``--trouble off`` is the baseline;
-        ``--signals`` stops, kills and pauses nodes at random moments. ``words`` is a file of the platform's
+        ``--signals`` stops, kills and pauses nodes at random moments; ``--foreign`` leaves entries of another
+        writer among those of the workers. ``words`` is a file of the platform's
         names in a folder below the root of the project.
 
         Example: ``worksramp-emulator soak --seed 7 --seconds 20``
         """
         file = Path(words).resolve()
-        plan = Plan(seed, seconds, has_trouble=trouble != "off", has_signals=signals)
+        plan = Plan(
+            seed, seconds, has_trouble=trouble != "off", has_signals=signals, has_foreign_entries=foreign
+        )
         try:
             names = load_words(file)
         except (OSError, tomllib.TOMLDecodeError, msgspec.ValidationError) as error:
--- a/src/worksramp_emulator/soak/model_workers.py
+++ b/src/worksramp_emulator/soak/model_workers.py
@@ -40,8 +40,9 @@
         self._highest_fence = 0
         self._is_loading = False
 
-    def _entry(self) -> dict[str, Any]:
-        return {**super()._entry(), "stage": "both", "models": self._models(), "seq": self._num_orders}
+    def entry(self) -> dict[str, Any]:
+        """Return what the worker states of itself."""
+        return {**super().entry(), "stage": "both", "models": self._models(), "seq": self._num_orders}
 
     def _models(self) -> list[dict[str, Any]]:
         return [{"name": self._words.model, "version": self.version, "adapters": []}]
--- a/src/worksramp_emulator/soak/plan.py
+++ b/src/worksramp_emulator/soak/plan.py
@@ -4,6 +4,7 @@
 workers.
 """
 
+import math
 import random
 import signal
 from dataclasses import dataclass
@@ -26,6 +27,10 @@
 FIRST_SIGNAL_S = 1.5
 SIGNAL_GAP_S = (0.2, 4.0)
 PAUSE_S = (0.2, 2.5)
+#: Entries of another writer that stand all the time, and those that come and go.
+NUM_STANDING_ENTRIES = 20
+ENTRY_GAP_S = (0.1, 1.0)
+ENTRY_STAYS_S = (0.05, 3.0)
 
 
 class Kind(StrEnum):
@@ -80,6 +85,22 @@
     pause_s: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class ForeignEntry:
+    """An entry of another writer among those of the workers; nobody listens at its address.
+
+    Attributes:
+        is_model_worker: whether it names the service of the workers of models.
+        at_s: when it is written, negative for before the nodes start.
+        stays_s: time until it is removed, infinite if it stays.
+    """
+
+    worker_id: str
+    is_model_worker: bool
+    at_s: float
+    stays_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class Plan:
     """All that is drawn for a soak.
@@ -87,12 +108,14 @@
     Args:
         has_trouble: whether workers answer twice.
         has_signals: whether nodes get signals.
+        has_foreign_entries: whether another writer leaves entries that state a start time, as no worker does.
     """
 
     seed: int
     length_s: float
     has_trouble: bool = True
     has_signals: bool = False
+    has_foreign_entries: bool = False
 
     def source(self, *name: object) -> random.Random:
         """Return a source of draws for one thing."""
@@ -129,10 +152,25 @@
             at_s += draws.uniform(*SIGNAL_GAP_S)
         return signals
 
+    def foreign_entries(self) -> list[ForeignEntry]:
+        """Return the entries of another writer: many that stand from the start, some that come and go."""
+        draws, at_s = self.source("foreign"), 0.0
+        if not self.has_foreign_entries:
+            return []
+        entries = [
+            ForeignEntry(f"odd-{number}", draws.random() < 0.5, -1.0, math.inf)
+            for number in range(NUM_STANDING_ENTRIES)
+        ]
+        while (at_s := at_s + draws.uniform(*ENTRY_GAP_S)) < self.length_s:
+            name = f"odd-{len(entries)}"
+            entries.append(ForeignEntry(name, draws.random() < 0.5, at_s, draws.uniform(*ENTRY_STAYS_S)))
+        return entries
+
     def describe(self) -> str:
         """Return the schedule as text."""
         lines = [f"seed {self.seed}, {self.length_s} s, trouble {self.has_trouble}"]
         lines += [f"{s.at_s:.3f} node {s.node} {s.number.name} {s.pause_s:.3f}" for s in self.signals()]
+        lines += [f"{e.at_s:.3f} entry {e.worker_id} for {e.stays_s:.3f}" for e in self.foreign_entries()]
         for client in range(NUM_CLIENTS):
             lines += [
                 f"client {client}: {send.kind} {send.think_s:.3f}"
--- a/src/worksramp_emulator/soak/runner.py
+++ b/src/worksramp_emulator/soak/runner.py
@@ -14,7 +14,7 @@
 from worksramp_emulator.soak.checks import Figures, figures, violations
 from worksramp_emulator.soak.model_workers import FIRST_VERSION, ModelWorker
 from worksramp_emulator.soak.nodes import NodeProcess, free_addresses
-from worksramp_emulator.soak.plan import NUM_CLIENTS, NUM_NODES, NodeSignal, Plan
+from worksramp_emulator.soak.plan import NUM_CLIENTS, NUM_NODES, ForeignEntry, NodeSignal, Plan
 from worksramp_emulator.soak.record import Record
 from worksramp_emulator.soak.store import StoreServer
 from worksramp_emulator.soak.words import Words
@@ -28,6 +28,9 @@
 STALL_POLL_S = 0.02
 #: Shortest delay of a wake-up that counts as a stall.
 STALL_S = 0.1
+#: Nobody listens at this port.
+CLOSED_ADDRESS = "127.0.0.1:9"
+FOREIGN_START_MS = 1_765_000_000_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -97,6 +100,9 @@
         self._store.put(self._words.store.control_topic, "config", self._words.configuration)
         for worker in self._workers:
             worker.publish()
+        for foreign in self._plan.foreign_entries():
+            if foreign.at_s < 0.0:
+                self._put_entry(foreign.worker_id, self._foreign_entry(foreign))
         store_address = self._store.server.address
         self._nodes = [
             NodeProcess(
@@ -130,6 +136,9 @@
                     group.start_soon(Submitter(number, around).run)
                 for sent in self._plan.signals():
                     group.start_soon(self._signal, sent)
+                for foreign in self._plan.foreign_entries():
+                    if foreign.at_s >= 0.0:
+                        group.start_soon(self._write_foreign, foreign)
                 group.start_soon(self._name_versions)
                 group.start_soon(self._wait_for_versions)
 
@@ -137,6 +146,20 @@
         await anyio.sleep(sent.at_s)
         await self._nodes[sent.node].take(sent)
 
+    async def _write_foreign(self, foreign: ForeignEntry) -> None:
+        await anyio.sleep(foreign.at_s)
+        self._put_entry(foreign.worker_id, self._foreign_entry(foreign))
+        await anyio.sleep(foreign.stays_s)
+        self._store.remove(self._words.store.workers_topic, foreign.worker_id)
+
+    def _foreign_entry(self, foreign: ForeignEntry) -> dict[str, object]:
+        """Return an entry like that of a worker, but for a start time."""
+        like = next(
+            worker for worker in self._workers if isinstance(worker, ModelWorker) == foreign.is_model_worker
+        )
+        start = {self._words.store.entry_start: FOREIGN_START_MS}
+        return {**like.entry(), "address": CLOSED_ADDRESS, **start}
+
     async def _name_versions(self) -> None:
         """Name versions of the model while there is load."""
         while self._record.now_s() + NEW_VERSION_EVERY_S < self._plan.length_s:
--- a/src/worksramp_emulator/soak/store.py
+++ b/src/worksramp_emulator/soak/store.py
@@ -40,6 +40,10 @@
         record = KeyedRecord(key, json.dumps(value).encode())
         self._store.do_append(Partition(topic, 0), (record,), None, None)
 
+    def remove(self, topic: str, key: str) -> None:
+        """Remove the record of a key."""
+        self._store.do_append(Partition(topic, 0), (KeyedRecord(key, b""),), None, None)
+
     async def _handle(self, request: Request, link: Link) -> None:
         query, names = request.query, self._words.store
         partition = Partition(query["topic"], int(query["part"]))
--- a/src/worksramp_emulator/soak/words.py
+++ b/src/worksramp_emulator/soak/words.py
@@ -42,6 +42,7 @@
     read: str
     newest: str
     newest_after: str
+    entry_start: str
 
 
 class Words(msgspec.Struct, frozen=True):
--- a/src/worksramp_emulator/soak/workers.py
+++ b/src/worksramp_emulator/soak/workers.py
@@ -78,9 +78,10 @@
 
     def publish(self) -> None:
         """Write the worker's entry into the store."""
-        self._site.put_entry(self.worker_id, self._entry())
+        self._site.put_entry(self.worker_id, self.entry())
 
-    def _entry(self) -> dict[str, Any]:
+    def entry(self) -> dict[str, Any]:
+        """Return what the worker states of itself."""
         return {
             "service": self.service,
             "address": self.server.address,
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -24,9 +24,16 @@
     assert verdict.violations == ()
 
 
+def test_workers_are_used_beside_more_entries_of_another_writer(tmp_path: Path) -> None:
+    # Twelve such entries beside six workers made all nodes refuse the workers, and nothing was served.
+    verdict = anyio.run(run_soak, Plan(seed=2, length_s=4.0, has_foreign_entries=True), WORDS, ROOT, tmp_path)
+    assert sum(number for _, number in verdict.figures.surpluses) > 30
+    assert verdict.violations == ()
+
+
 def test_one_seed_gives_one_schedule() -> None:
     # A failed seed is of no use if the next run draws other faults.
-    plans = [Plan(seed, 10.0, has_signals=True).describe() for seed in (1, 1, 2)]
+    plans = [Plan(seed, 10.0, has_signals=True, has_foreign_entries=True).describe() for seed in (1, 1, 2)]
     assert plans[0] == plans[1] != plans[2]
 
 
