--- a/src/worksramp/edge/worker_entries.py
+++ b/src/worksramp/edge/worker_entries.py
@@ -7,6 +7,7 @@
 import anyio.abc
 import structlog
 
+from worksramp.edge.held_entries import HeldEntries, never_answers
 from worksramp.edge.ports import RecordFault, UnreadableRecord, WorkerEvent, WorkerGone, WorkerSeen
 from worksramp.edge.start_times import StartTimes
 from worksramp.routing.quarantine import Quarantine
@@ -22,35 +23,9 @@
 #: one of these is used again or is gone.
 MAX_LOGGED_FAULTS = 256
 
-#: Refused entries whose workers are asked at the same time; an address of another writer may stay silent.
-MAX_CHECKS = 16
-#: Pause after the first check without an answer. It grows by the factor after each further one.
-FIRST_CHECK_PAUSE_S = 0.25
-CHECK_PAUSE_FACTOR = 4.0
-MAX_CHECK_PAUSE_S = 60.0
-
 logger = structlog.get_logger()
 
 
-async def _never_answers(entry: WorkerEntry) -> bool:
-    return False
-
-
-@dataclass(slots=True)
-class _HeldBack:
-    """An entry that is refused only for stating a start time, or stating none.
-
-    Attributes:
-        check_at: when to ask at its address whether its worker is there.
-        pause_s: pause after the next check that gets no answer.
-    """
-
-    entry: WorkerEntry
-    check_at: float = float("-inf")
-    pause_s: float = FIRST_CHECK_PAUSE_S
-    is_checked_now: bool = False
-
-
 @dataclass(slots=True)
 class WorkerEntries:
     """Apply changes of workers' entries to the directory of workers.
@@ -73,14 +48,17 @@
     on_change: Callable[[], None]
     is_loaded: Callable[[], bool] = lambda: True
     service_names: Callable[[], Collection[str] | None] = lambda: None
-    is_answered: Callable[[WorkerEntry], Awaitable[bool]] = _never_answers
+    is_answered: Callable[[WorkerEntry], Awaitable[bool]] = never_answers
     _logged_faults: dict[str, RecordFault] = field(default_factory=dict)
     _is_log_full: bool = False
-    _held_back: dict[str, _HeldBack] = field(default_factory=dict)
-    _num_checks: int = 0
+    #: Entries that are refused only for stating a start time, or stating none.
+    _held: HeldEntries = field(init=False)
     _starts: StartTimes = field(default_factory=StartTimes)
     _kinds: frozenset[bool] = frozenset([True])
 
+    def __post_init__(self) -> None:
+        self._held = HeldEntries(self.is_answered, self.handle_answer)
+
     def apply(self, event: WorkerEvent) -> None:
         """Apply a change of one entry; one that cannot be used does not affect other workers."""
         if isinstance(event, WorkerSeen):
@@ -88,7 +66,7 @@
         elif isinstance(event, WorkerGone):
             self._apply_gone(event.worker_id)
         else:
-            self._held_back.pop(event.key, None)
+            self._held.discard(event.key)
             self._starts.remove(event.key)
             self._refuse(event)
         self.on_change()
@@ -106,12 +84,8 @@
         if not self._starts.record_answer(entry.worker_id, _has_start(entry)):
             return
         logger.debug("worker_answered", worker=entry.worker_id, started_ms=entry.started_ms)
-        held = self._held_back.get(entry.worker_id)
-        if held is not None and self._is_of_worker(held.entry):
-            del self._held_back[entry.worker_id]
-            self._apply_entry(held.entry)
-            self.on_change()
-        if self._apply_start_times():
+        has_changed = self._apply_start_times()
+        if self._use_released() or has_changed:
             self.on_change()
 
     async def watch(self) -> None:
@@ -120,7 +94,7 @@
             while True:
                 await anyio.sleep(TICK_SECONDS)
                 self._drop_missing()
-                self._start_checks(group)
+                self._held.start_checks(group)
 
     def _drop_missing(self) -> None:
         """Remove workers whose entries expired in an outage and were not written again."""
@@ -131,41 +105,9 @@
             self._remove(worker_id)
             self.on_change()
 
-    def _start_checks(self, group: anyio.abc.TaskGroup) -> None:
-        now = anyio.current_time()
-        due = [held for held in self._held_back.values() if held.check_at <= now and not held.is_checked_now]
-        # Those that were asked least often come first.
-        due.sort(key=lambda held: (held.pause_s, held.check_at))
-        for held in due[: MAX_CHECKS - self._num_checks]:
-            held.is_checked_now = True
-            self._num_checks += 1
-            group.start_soon(self._check, held)
-
-    async def _check(self, held: _HeldBack) -> None:
-        """Ask whether the worker of a refused entry is there; ask again later if nobody answers."""
-        entry = held.entry
-        try:
-            has_answered = await self.is_answered(entry)
-        finally:
-            self._num_checks -= 1
-            held.is_checked_now = False
-        log = logger.info if has_answered else logger.debug
-        log(
-            "entry_checked",
-            worker=entry.worker_id,
-            address=entry.address,
-            started_ms=entry.started_ms,
-            has_answered=has_answered,
-            pause_s=held.pause_s,
-        )
-        held.check_at = anyio.current_time() + held.pause_s
-        held.pause_s = min(MAX_CHECK_PAUSE_S, CHECK_PAUSE_FACTOR * held.pause_s)
-        if has_answered:
-            self.handle_answer(entry)
-
     def _remove(self, worker_id: str) -> None:
         """Remove a worker whose entry is gone for good."""
-        self._held_back.pop(worker_id, None)
+        self._held.discard(worker_id)
         self._starts.remove(worker_id)
         self.directory.remove(worker_id)
 
@@ -175,7 +117,7 @@
         if not self._is_of_worker(entry):
             self._hold_back(entry)
             return
-        self._held_back.pop(entry.worker_id, None)
+        self._held.discard(entry.worker_id)
         self._apply_entry(entry)
 
     def _apply_entry(self, entry: WorkerEntry) -> None:
@@ -224,18 +166,19 @@
         for state in self.directory.all_states():
             if not self._is_of_worker(state.entry):
                 self._hold_back(state.entry)
-        for held in [held for held in self._held_back.values() if self._is_of_worker(held.entry)]:
-            del self._held_back[held.entry.worker_id]
-            self._apply_entry(held.entry)
+        self._use_released()
         return True
 
+    def _use_released(self) -> bool:
+        """Use the held entries that are those of workers after all; return whether there were any."""
+        released = self._held.release(self._is_of_worker)
+        for entry in released:
+            self._apply_entry(entry)
+        return bool(released)
+
     def _hold_back(self, entry: WorkerEntry) -> None:
         """Refuse an entry that states a start time, or states none, unlike those of workers."""
-        held = self._held_back.get(entry.worker_id)
-        if held is not None and _is_same_start(held.entry, entry):
-            held.entry = entry
-        else:
-            self._held_back[entry.worker_id] = _HeldBack(entry)
+        self._held.hold(entry)
         reason = "a start time" if _has_start(entry) else "no start time"
         self._refuse(
             UnreadableRecord(entry.worker_id, f"{reason}, unlike other entries", RecordFault.BAD_VALUE)
@@ -275,7 +218,3 @@
 
 def _has_start(entry: WorkerEntry) -> bool:
     return entry.started_ms != START_UNKNOWN
-
-
-def _is_same_start(one: WorkerEntry, other: WorkerEntry) -> bool:
-    return (one.address, one.started_ms) == (other.address, other.started_ms)
--- a/tests/unit/test_foreign_entries.py
+++ b/tests/unit/test_foreign_entries.py
@@ -10,7 +10,7 @@
 import anyio.abc
 import pytest
 
-from worksramp.edge import start_times, worker_entries
+from worksramp.edge import held_entries, start_times
 from worksramp.edge.ports import RecordFault, WorkerGone, WorkerSeen
 from worksramp.edge.start_times import StartTimes
 from worksramp.edge.worker_entries import WorkerEntries
@@ -109,7 +109,7 @@
             await anyio.sleep(0.1)
             assert fleet.usable == WORKERS
             # The refused entries are asked too, and more and more rarely.
-            await anyio.sleep(20 * worker_entries.FIRST_CHECK_PAUSE_S)
+            await anyio.sleep(20 * held_entries.FIRST_CHECK_PAUSE_S)
             assert fleet.usable == WORKERS
             assert all(2 <= fleet.checked.count(f"odd-{number}") <= 3 for number in range(20))
             group.cancel_scope.cancel()
