--- a/tests/platform/test_worker_identity.py
+++ b/tests/platform/test_worker_identity.py
@@ -6,9 +6,12 @@
 import anyio.abc
 import pytest
 from worksramp_platform.documents import decode_table
+from worksramp_platform.worker_calls import MAX_POOLS, WorkerPools
 from worksramp_platform.workers import PlatformWorkers
 
 from tests.platform.served_worker import id_in, listening
+from worksramp.connections.pool import PoolCounters
+from worksramp.routing.workers import WorkerEntry
 
 MODELS = b'{"models":[{"name":"m","version":3}],"seq":4}'
 HEALTH = b"\r\nX-Worksramp-Instance-Id: "
@@ -84,3 +87,16 @@
 def test_an_unusable_health_path_leaves_the_configuration_in_use(stated: object, used: str) -> None:
     config = {"version": 1, "routes": [], "services": [{"name": "s", "healthPath": stated}]}
     assert decode_table(json.dumps(config).encode()).services["s"].health_path == used
+
+
+def test_checks_of_many_entries_close_no_connections_to_a_worker_in_use() -> None:
+    # The pool that had been there for longest was closed, also that of a worker in use.
+    async def main() -> None:
+        pools = WorkerPools(PoolCounters(), None)
+        worker = WorkerEntry("i-1", "s", "127.0.0.1:9", "z", 4)
+        first = await pools.connections_to(worker)
+        for number in range(2 * MAX_POOLS):
+            await pools.connections_to(WorkerEntry(f"odd-{number}", "s", "127.0.0.1:9", "z", 4))
+            assert await pools.connections_to(worker) is first
+
+    anyio.run(main)
