Revert "An owner rests as long as a long pass of planning has held its loop"

On small machines a pass over a few hundred items takes 20 ms and more as well, so the owner rested in ordinary steps, and free slots waited for it.

The batch of 7,000 items that holds the processor stays open. What the try showed is worth keeping: such an owner's loop needs less work for each pass (waiting_items builds a view of every waiting item for each free slot), not pauses between passes.

--- a/src/worksramp/rollout/batch_owner.py
+++ b/src/worksramp/rollout/batch_owner.py
@@ -17,7 +17,6 @@
 from worksramp.rollout.item_runner import ItemRunner
 from worksramp.rollout.item_scorer import ItemScorer
 from worksramp.rollout.item_work import ItemWork, longer_text, text_to_start_from
-from worksramp.rollout.loop_rest import rest_after
 from worksramp.rollout.open_items import OpenItems
 from worksramp.rollout.owner_context import OwnerContext
 from worksramp.rollout.pace import PaceTracker
@@ -80,14 +79,12 @@
             group.start_soon(self._texts.checkpoint_forever)
             group.start_soon(self._texts.expire_batches_forever)
             while not self._is_stopping:
-                started_at = anyio.current_time()
                 self._update_batches()
                 self._carried.discard_expired()
                 self._handle_restarted_workers()
                 self._watch.check_runs()
                 self._runner.start_runs(group)
                 self._scorer.start_calls(group)
-                await rest_after(started_at)
                 with anyio.move_on_after(TICK_SECONDS):
                     await self._wake_event.wait()
                 self._wake_event = anyio.Event()
--- a/src/worksramp/rollout/item_runner.py
+++ b/src/worksramp/rollout/item_runner.py
@@ -86,19 +86,16 @@
         for waiting in (self._items.waiting(), self._items.carried_waiting(now)):
             if not waiting:
                 continue
-            assignments = self._assign(waiting, now)
+            assignments = assign(
+                self._items.waiting_items(waiting, now),
+                self._items.worker_views(now),
+                self._items.num_running_by_party(),
+            )
             for assignment in assignments:
                 self._start(group, assignment, now)
             if len(assignments) < len(waiting):
                 self._log_waiting(len(waiting) - len(assignments), now)
 
-    def _assign(self, waiting: list[ItemWork], now: float) -> list[Assignment]:
-        workers = self._items.worker_views(now)
-        has_free_slot = any(worker.num_running < worker.num_slots for worker in workers)
-        if not has_free_slot and not any(work.reserved_worker(now) for work in waiting):
-            return []
-        return assign(self._items.waiting_items(waiting, now), workers, self._items.num_running_by_party())
-
     def _log_waiting(self, num_waiting: int, now: float) -> None:
         """Log how many items wait, and the slots in use by party, at most once in a while."""
         if now < self._log_waiting_at:
