--- a/src/worksramp/edge/worker_entries.py
+++ b/src/worksramp/edge/worker_entries.py
@@ -78,9 +78,6 @@
 
     def handle_answer(self, entry: WorkerEntry) -> None:
         """Use the entry of a worker that has answered under its id, whatever the others state."""
-        state = self.directory.get(entry.worker_id)
-        if state is not None and state.entry.started_ms == entry.started_ms:
-            state.has_answered = True
         if not self._starts.record_answer(entry.worker_id, _has_start(entry)):
             return
         logger.debug("worker_answered", worker=entry.worker_id, started_ms=entry.started_ms)
--- a/src/worksramp/rollout/item_runner.py
+++ b/src/worksramp/rollout/item_runner.py
@@ -234,7 +234,7 @@
         work.avoid(run.worker_id, now + AVOID_AFTER_REFUSAL_SECONDS)
         if state is not None and outcome.reason.startswith("unreachable"):
             self._failures.observe(run.worker_id, is_failure=True, now=now)
-            state.avoid_after_failure(now, AVOID_AFTER_BREAK_SECONDS)
+            state.avoid_until = now + AVOID_AFTER_BREAK_SECONDS
 
     @_outcome_handlers.handler(RunWrongVersion)
     def _handle_wrong_version(self, outcome: RunWrongVersion, work: ItemWork, run: Run, now: float) -> None:
--- a/src/worksramp/rollout/item_scorer.py
+++ b/src/worksramp/rollout/item_scorer.py
@@ -256,7 +256,7 @@
             return
         if outcome.is_unreachable:
             self._failures.observe(call.worker_id, is_failure=True, now=now)
-            state.avoid_after_failure(now, AVOID_AFTER_BREAK_S)
+            state.avoid_until = now + AVOID_AFTER_BREAK_S
         else:
             state.avoid_until = now + AVOID_AFTER_REFUSAL_S
 
--- a/src/worksramp/routing/attempts.py
+++ b/src/worksramp/routing/attempts.py
@@ -184,9 +184,6 @@
             if worker.entry.worker_id not in history.tried
         ]
         healthy = [worker for worker in untried if worker.avoid_until <= now] or untried
-        if history.attempts:
-            # Where one worker has failed or is late, the next one should be there for certain.
-            healthy = [worker for worker in healthy if worker.has_answered] or healthy
         if history.was_interrupted:
             # Any of the requests that a crash interrupted may have caused it. If they were retried at the
             # same worker, the others would be lost again, and the cause could not be told apart from them.
@@ -290,7 +287,7 @@
     ) -> None:
         """Record and log a failed attempt, and avoid the worker for a short time."""
         worker.num_recent_failures += 1
-        worker.avoid_after_failure(anyio.current_time(), AVOID_AFTER_FAILURE_SECONDS)
+        worker.avoid_until = anyio.current_time() + AVOID_AFTER_FAILURE_SECONDS
         history.last_reason = reason
         logger.info(
             "attempt_failed",
--- a/src/worksramp/routing/workers.py
+++ b/src/worksramp/routing/workers.py
@@ -11,10 +11,6 @@
 START_UNKNOWN = 0
 #: Maximum number of removed workers whose latest start is remembered.
 MAX_REMEMBERED_STARTS = 1024
-#: A worker that fails before it has ever answered is avoided this many times as long after each failure,
-#: up to the limit in seconds: its entry may be that of another writer.
-UNPROVEN_PAUSE_FACTOR = 2.0
-MAX_UNPROVEN_PAUSE_S = 4.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,8 +63,6 @@
         avoid_until: time until which this node sends no batch items to the worker, and live requests only if
             no other worker is left.
         num_recent_failures: failed attempts since the last success.
-        has_answered: whether the worker has answered under its id since its start.
-        unproven_pause_factor: how many times longer than usual it is avoided after its next failure.
         latency_seconds: moving mean of response times at the worker's usual speed, None before the first.
         latency_updated_at: when ``latency_seconds`` last changed.
         is_gone: whether the entry was removed or replaced by that of a later start.
@@ -81,8 +75,6 @@
     reported_at: float = float("-inf")
     avoid_until: float = float("-inf")
     num_recent_failures: int = 0
-    has_answered: bool = False
-    unproven_pause_factor: float = 1.0
     latency_seconds: float | None = None
     latency_updated_at: float = float("-inf")
     versions: dict[str, int] = field(default_factory=dict)
@@ -121,17 +113,6 @@
         """Whether this node has a request at the worker that was a suspect when it was sent."""
         return any(request.is_suspect for request in self.running)
 
-    def avoid_after_failure(self, now: float, pause_s: float) -> None:
-        """Avoid the worker for a while after an attempt that failed without an answer.
-
-        Args:
-            pause_s: for how long a worker is avoided that has answered before.
-        """
-        if not self.has_answered:
-            pause_s = min(MAX_UNPROVEN_PAUSE_S, pause_s * self.unproven_pause_factor)
-            self.unproven_pause_factor *= UNPROVEN_PAUSE_FACTOR
-        self.avoid_until = now + pause_s
-
     def record_report(self, report: ReportedLoad, now: float) -> None:
         """Record the load that the worker has just reported."""
         self.reported, self.reported_at = report, now
