Callers' connections are bounded in number, and read no further than asked

What callers saw: clients that keep to no limits ended a node, and with it all requests of its machine. They sent many bodies of legal size that stop short of their end, or requests ahead whose answers they did not read; 1,500 of them took a node of 128 MB to 593 MB. Where idle ones held the last descriptor, an ordinary caller got no answer at all.

Cause: the parts of a connection were bounded, their number was not, and the parts were large. For each connection the kernel took what its own tuning allowed, asyncio read 128 KB and more ahead, hypercorn had 64 KB in hand, two parts queued for the application, and a head of up to 64 KB. None of these waits for the application, so a bound on bodies (request_memory) comes too late.

Ruled out: bounding one of these alone. With the reader's limit at 8 KB and the default server, what is in hand and queued is still 200 KB; hypercorn has no hook for the number of connections, for a head's time, or to read on demand, and each of its classes on this way is private. So a server of our own on h11 (the parser stays the library's) serves the edge role: edge/http_server.py accepts, caller_connection.py reads on demand, connection_limits.py decides.

Why it works: what one connection can hold beside counted bodies is a constant (CONNECTION_B, 160 KB, with small kernel buffers that accepted sockets inherit), and there are only as many as a fifth of the memory that is shared out, and half of the descriptors, allow (64 at least). A new caller takes the place of the connection that has made no progress for longest; one whose request is being answered keeps its own. The addresses for readiness and metrics have 16 places each. A head has headerTimeoutMs from its first byte (the limit was decoded and not used) and twice its size is no longer read. An answer that is not taken ends its connection after 10 s, or the idle time. A body that is refused early is dropped for the idle time at most, its answer goes out first, and 100 Continue is sent only once the body is wanted.

--- a/Makefile
+++ b/Makefile
@@ -19,7 +19,8 @@
 	$(BIN)/ruff check .
 	$(BIN)/mypy --strict
 	PYTHONPATH=platform $(BIN)/lint-imports
-	$(BIN)/pytest -n $(TEST_PROCESSES) --dist loadgroup
+	$(BIN)/pytest -n $(TEST_PROCESSES) --dist loadgroup -m "not alone"
+	$(BIN)/pytest -m alone
 
 faults: $(VENV)/.installed
 	$(BIN)/python scripts/faults.py
--- a/src/worksramp/edge/asgi.py
+++ b/src/worksramp/edge/asgi.py
@@ -13,6 +13,7 @@
 Message = MutableMapping[str, Any]
 Receive = Callable[[], Awaitable[Message]]
 Send = Callable[[Message], Awaitable[None]]
+Application = Callable[[Scope, Receive, Send], Awaitable[None]]
 Headers = list[tuple[bytes, bytes]]
 
 CONTENT_TYPE = b"content-type"
--- a/src/worksramp/edge/node.py
+++ b/src/worksramp/edge/node.py
@@ -22,6 +22,7 @@
 from worksramp.duties.usage import UsageCounter, UsageTimes
 from worksramp.duties.usage_publisher import UsagePublisher
 from worksramp.duties.wall_time import WallTime
+from worksramp.edge.connection_limits import ConnectionLimit, max_connections
 from worksramp.edge.metrics import NodeMetrics
 from worksramp.edge.node_stop import NodeStop
 from worksramp.edge.observed_log import ObservedLog
@@ -100,6 +101,7 @@
         held: counts the bytes of workers' answers that the node holds.
         request_memory: counts the bytes of callers' requests that the node holds.
         unread: counts the bytes of answers that callers have not read.
+        connections: bounds the connections of callers.
         forwarder: forwards live requests.
         shard: this node's part in the shard of batches.
         batches: handles the calls of trainers about batches.
@@ -122,6 +124,7 @@
     held: HeldBytes = field(init=False)
     request_memory: RequestMemory = field(init=False)
     unread: UnreadAnswers = field(init=False)
+    connections: ConnectionLimit = field(init=False)
     forwarder: Forwarder = field(init=False)
     shard: BatchShard = field(init=False)
     batches: BatchService = field(init=False)
@@ -154,6 +157,7 @@
             lambda limit: self.metrics.answers_dropped.labels(limit.value).inc(),
         )
         self.request_memory = RequestMemory(ByteBudget(max_request_bytes(settings.machine.memory_mb)))
+        self.connections = ConnectionLimit(max_connections(settings.machine.memory_mb))
         self.unread = UnreadAnswers(ByteBudget(max_unread_bytes(settings.machine.memory_mb)))
         self.forwarder = Forwarder(
             self.directory,
@@ -283,6 +287,17 @@
             "Requests refused since the start because too many bytes were held",
             lambda: self.request_memory.num_refused,
         )
+        gauge("caller_connections", "Connections of callers", lambda: self.connections.num_connections)
+        gauge(
+            "caller_connections_displaced",
+            "Connections of callers ended since the start for others",
+            lambda: self.connections.num_displaced,
+        )
+        gauge(
+            "caller_connections_refused",
+            "Connections of callers closed since the start because each place was in use",
+            lambda: self.connections.num_refused,
+        )
         gauge(
             "configuration_version",
             "Version of the configuration in force",
--- a/src/worksramp/edge/request_memory.py
+++ b/src/worksramp/edge/request_memory.py
@@ -12,13 +12,14 @@
 NODE_MEMORY_MB = 72
 #: Memory that is shared out even where a machine has hardly more than a node takes.
 MIN_SHARED_MB = 24
-#: Share of the rest for the bodies of requests. What is left is for the copies that are made of a body while
-#: it is read, and for the buffers of connections.
+#: Share of the rest for the bodies of requests.
 REQUESTS_SHARE = 0.4
 #: Share of the rest for answers that callers have not read.
 ANSWERS_SHARE = 0.2
 #: Share of the rest for the bodies of open items, at the owner.
 ITEMS_SHARE = 0.2
+#: Share of the rest for the connections of callers.
+CONNECTIONS_SHARE = 0.2
 #: Longest wait for room. Callers take a node that has not read a request after a second for a failed one.
 MAX_WAIT_S = 0.5
 
@@ -75,6 +76,11 @@
     return int(ITEMS_SHARE * _shared_b(memory_mb))
 
 
+def connection_bytes(memory_mb: float) -> int:
+    """Return how many bytes the connections of callers may take on a machine with this memory."""
+    return int(CONNECTIONS_SHARE * _shared_b(memory_mb))
+
+
 def _shared_b(memory_mb: float) -> float:
     return max(memory_mb - NODE_MEMORY_MB, MIN_SHARED_MB) * MB
 
--- a/src/worksramp/edge/serve.py
+++ b/src/worksramp/edge/serve.py
@@ -3,31 +3,24 @@
 import asyncio
 import signal
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from functools import partial
 
 import anyio
 import msgspec
 import structlog
-from hypercorn.asyncio import serve
-from hypercorn.config import Config
 
-from worksramp.edge.asgi import Receive, Scope, Send
+from worksramp.edge.asgi import Application
+from worksramp.edge.connection_limits import MAX_SIDE_CONNECTIONS, ConnectionLimit
+from worksramp.edge.http_server import HttpServer, Listener
 from worksramp.edge.node import EdgeNode
 from worksramp.edge.settings import EdgeSettings
 from worksramp.mechanisms import MECHANISMS, UnknownMechanismError
+from worksramp.routing.table import CallerLimits
 from worksramp.settings_error import SettingsError
 from worksramp.signals import SignalInbox
 
-Application = Callable[[Scope, Receive, Send], Awaitable[None]]
-
-MAX_INCOMPLETE_BYTES = 65_536
-BACKLOG = 1024
-#: Parts of a body, of 64 KB each, that the server reads ahead on one connection.
-MAX_PARTS_READ_AHEAD = 2
-DEFAULT_IDLE_TIMEOUT_SECONDS = 15.0
 GRACEFUL_TIMEOUT_SECONDS = 0.5
-IDLE_TIMEOUT_PERIOD_SECONDS = 0.5
 RELOADABLE = ("bounds", "max_loading")
 
 logger = structlog.get_logger()
@@ -61,18 +54,17 @@
         read_settings: reads the settings file again, and raises SettingsError if it cannot be used.
         signals: signals of the process.
     """
-    config = _hypercorn_config(node)
+    server = HttpServer(application, _listeners(node), lambda: _limits(node))
     http_stop, http_stopped = anyio.Event(), anyio.Event()
     stop_requested = anyio.Event()
     async with anyio.create_task_group() as group:
 
         async def serve_http() -> None:
-            await serve(application, config, shutdown_trigger=http_stop.wait)  # type: ignore[arg-type]
+            await server.serve(http_stop, GRACEFUL_TIMEOUT_SECONDS)
             http_stopped.set()
 
         group.start_soon(serve_http)
         group.start_soon(node.run)
-        group.start_soon(_update_idle_timeout, node, config)
         logger.info(
             "started", node=node.settings.node_id, zone=node.settings.zone, listen=node.settings.listen
         )
@@ -85,32 +77,20 @@
         group.cancel_scope.cancel()
 
 
-def _hypercorn_config(node: EdgeNode) -> Config:
-    config = Config()
-    config.bind = [node.settings.listen]
-    if node.settings.ready_listen and node.settings.ready_listen != node.settings.listen:
-        config.bind.append(node.settings.ready_listen)
-    if node.settings.metrics_listen:
-        config.bind.append(node.settings.metrics_listen)
-    config.accesslog = None
-    config.errorlog = None
-    config.include_server_header = False
-    config.include_date_header = False
-    config.h11_max_incomplete_size = MAX_INCOMPLETE_BYTES
-    config.backlog = BACKLOG
-    config.max_app_queue_size = MAX_PARTS_READ_AHEAD
-    config.keep_alive_timeout = DEFAULT_IDLE_TIMEOUT_SECONDS
-    config.graceful_timeout = GRACEFUL_TIMEOUT_SECONDS
-    return config
-
-
-async def _update_idle_timeout(node: EdgeNode, config: Config) -> None:
-    """Set the timeout of idle connections to that of the configuration in force, until cancelled."""
-    while True:
-        table = node.table.current
-        if table is not None:
-            config.keep_alive_timeout = table.limits.idle_timeout_seconds
-        await anyio.sleep(IDLE_TIMEOUT_PERIOD_SECONDS)
+def _listeners(node: EdgeNode) -> list[Listener]:
+    """Return the addresses of a node; a crowd at one of them takes no places of another."""
+    settings = node.settings
+    listeners = [Listener(settings.listen, node.connections)]
+    for address in (settings.ready_listen, settings.metrics_listen):
+        if address and address != settings.listen:
+            listeners.append(Listener(address, ConnectionLimit(MAX_SIDE_CONNECTIONS)))
+    return listeners
+
+
+def _limits(node: EdgeNode) -> CallerLimits:
+    """Return the limits of the configuration in force."""
+    table = node.table.current
+    return CallerLimits() if table is None else table.limits
 
 
 async def _handle_signals(
--- a/tests/unit/test_signal_times.py
+++ b/tests/unit/test_signal_times.py
@@ -11,8 +11,9 @@
 import anyio
 import pytest
 
+from worksramp.edge.asgi import Application
 from worksramp.edge.node import EdgeNode
-from worksramp.edge.serve import Application, serve_node
+from worksramp.edge.serve import serve_node
 from worksramp.signals import HANDLED, SignalInbox
 
 BUSY_S = 0.4
