A body that makes no progress gives its room to others

A body without room was read to its end before its 503 was sent; a body far over the limit was known from its head and yet took room.

Cause: room belonged to whoever came first, for as long as a part came within the idle time.

Oldest first would cut a large body that comes well. So it is decided only when another request needs the room: those give way that have made no progress for longest, 0.3 s at least. A sixteenth of the body is progress, a byte is not (serving.progress). They get 503, which is true: they have not run. Bodies up to 16 KB need no room at all; they are part of what a connection may hold. What is refused is refused before it is read, and the server drops the rest.

A newcomer now waits for a place for 0.5 s, where any caller may stall meanwhile, and stalled is what has made no progress for 0.3 s in both.

--- a/src/worksramp/edge/asgi.py
+++ b/src/worksramp/edge/asgi.py
@@ -55,14 +55,14 @@
     receive: Receive,
     max_bytes: int,
     part_timeout_seconds: float = math.inf,
-    on_size: Callable[[int], None] = lambda size_b: None,
+    on_size: Callable[[int], Awaitable[None]] | None = None,
 ) -> bytes:
     """Return the complete body of a request.
 
     Args:
         max_bytes: largest accepted size.
         part_timeout_seconds: longest wait for each part of the body.
-        on_size: called with the size so far, before a further part is kept.
+        on_size: awaited with the size so far, before a further part is kept.
 
     Raises:
         CallerGoneError: the caller disconnected before the end of the body.
@@ -72,23 +72,12 @@
     # A list of chunks takes many times the bytes of small chunks, and a byte array is copied in the end.
     buffer = io.BytesIO()
     async for chunk in _parts(receive, max_bytes, part_timeout_seconds):
-        on_size(buffer.tell() + len(chunk))
+        if on_size is not None:
+            await on_size(buffer.tell() + len(chunk))
         buffer.write(chunk)
     return buffer.getvalue()
 
 
-async def skip_body(receive: Receive, max_bytes: int, part_timeout_seconds: float) -> None:
-    """Read the rest of a body without keeping it, so that its sender reads the answer.
-
-    Raises:
-        CallerGoneError: the caller disconnected before the end of the body.
-        BodyTooLargeError: the rest is longer than ``max_bytes``.
-        BodyTooSlowError: a part did not arrive in time.
-    """
-    async for _ in _parts(receive, max_bytes, part_timeout_seconds):
-        pass
-
-
 async def _parts(receive: Receive, max_bytes: int, part_timeout_seconds: float) -> AsyncIterator[bytes]:
     num_bytes = 0
     while True:
--- a/src/worksramp/edge/connection_limits.py
+++ b/src/worksramp/edge/connection_limits.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
+from worksramp.edge.progress import MIN_STALL_S
 from worksramp.edge.request_memory import connection_bytes
 
 #: Size of the kernel's buffer for bytes that have arrived; it takes twice as much for its own records.
@@ -31,8 +32,6 @@
 DESCRIPTORS_SHARE = 0.5
 #: Connections for readiness, and for metrics, which few callers ask for.
 MAX_SIDE_CONNECTIONS = 16
-#: A caller that is sending a body, or reading an answer, keeps its place for this pause.
-MIN_STALL_S = 0.5
 
 
 def max_connections(memory_mb: float, max_descriptors: int | None = None) -> int:
@@ -85,13 +84,22 @@
         """Connections now."""
         return len(self._connections)
 
+    @property
+    def is_full(self) -> bool:
+        """Whether all places are taken."""
+        return len(self._connections) >= self.max_connections
+
+    @property
+    def may_free_soon(self) -> bool:
+        """Whether the node is waiting for any of the callers; such a place is free once its caller stalls."""
+        return any(each.stalled_since < math.inf for each in self._connections)
+
     def make_place(self, now: float) -> bool:
         """Make a place for one more connection; return False if each is in use."""
-        if len(self._connections) < self.max_connections:
+        if not self.is_full:
             return True
         candidates = [each for each in self._connections if _may_be_displaced(each, now)]
         if not candidates:
-            self.num_refused += 1
             return False
         victim = min(candidates, key=lambda each: each.stalled_since)
         self.num_displaced += 1
--- a/src/worksramp/edge/http_server.py
+++ b/src/worksramp/edge/http_server.py
@@ -17,6 +17,10 @@
 BACKLOG = 1024
 #: Pause after an error of accepting, such as a lack of descriptors.
 ACCEPT_PAUSE_S = 0.1
+#: Longest wait for a place, while which no other connection is accepted.
+MAX_WAIT_S = 0.5
+#: Pause between two looks for a place.
+RECHECK_S = 0.05
 #: Shortest time between two log lines that say that all places are taken.
 FULL_LOG_PERIOD_S = 1.0
 
@@ -106,17 +110,10 @@
         Raises:
             OSError: the connection is lost already.
         """
-        now = anyio.current_time()
-        is_full = limit.num_connections >= limit.max_connections
-        if is_full and now - self._full_logged_at >= FULL_LOG_PERIOD_S:
-            self._full_logged_at = now
-            logger.warning(
-                "connections_full",
-                num_connections=limit.num_connections,
-                num_displaced=limit.num_displaced,
-                num_refused=limit.num_refused,
-            )
-        if not limit.make_place(now):
+        if limit.is_full:
+            self._log_full(limit)
+        if not await _wait_for_place(limit):
+            limit.num_refused += 1
             sock.close()
             await anyio.lowlevel.checkpoint()
             return
@@ -131,6 +128,19 @@
         limit.add(connection)
         group.start_soon(self._serve_connection, connection, limit)
 
+    def _log_full(self, limit: ConnectionLimit) -> None:
+        """Log that all places are taken, unless that has just been logged."""
+        now = anyio.current_time()
+        if now - self._full_logged_at < FULL_LOG_PERIOD_S:
+            return
+        self._full_logged_at = now
+        logger.warning(
+            "connections_full",
+            num_connections=limit.num_connections,
+            num_displaced=limit.num_displaced,
+            num_refused=limit.num_refused,
+        )
+
     async def _serve_connection(self, connection: CallerConnection, limit: ConnectionLimit) -> None:
         try:
             await connection.serve()
@@ -146,6 +156,17 @@
                 self._is_idle = anyio.Event()
 
 
+async def _wait_for_place(limit: ConnectionLimit) -> bool:
+    """Return whether there is a place, which may take a short time if callers are about to stall."""
+    with anyio.move_on_after(MAX_WAIT_S):
+        while not limit.make_place(anyio.current_time()):
+            if not limit.may_free_soon:
+                return False
+            await anyio.sleep(RECHECK_S)
+        return True
+    return False
+
+
 def _listen(address: str) -> socket.socket:
     """Return a socket that listens at an address; connections take over the sizes of its buffers."""
     host, _, port = address.rpartition(":")
--- a/src/worksramp/edge/node.py
+++ b/src/worksramp/edge/node.py
@@ -34,6 +34,7 @@
     VersionNamed,
 )
 from worksramp.edge.request_memory import (
+    SMALL_BODY_B,
     ByteBudget,
     RequestMemory,
     max_item_bytes,
@@ -156,7 +157,9 @@
             settings.answers.max_held_bytes,
             lambda limit: self.metrics.answers_dropped.labels(limit.value).inc(),
         )
-        self.request_memory = RequestMemory(ByteBudget(max_request_bytes(settings.machine.memory_mb)))
+        self.request_memory = RequestMemory(
+            ByteBudget(max_request_bytes(settings.machine.memory_mb)), SMALL_BODY_B
+        )
         self.connections = ConnectionLimit(max_connections(settings.machine.memory_mb))
         self.unread = UnreadAnswers(ByteBudget(max_unread_bytes(settings.machine.memory_mb)))
         self.forwarder = Forwarder(
@@ -287,6 +290,11 @@
             "Requests refused since the start because too many bytes were held",
             lambda: self.request_memory.num_refused,
         )
+        gauge(
+            "requests_displaced",
+            "Requests refused since the start because others needed the room of their stalled bodies",
+            lambda: self.request_memory.num_displaced,
+        )
         gauge("caller_connections", "Connections of callers", lambda: self.connections.num_connections)
         gauge(
             "caller_connections_displaced",
--- a/src/worksramp/edge/progress.py
+++ b/src/worksramp/edge/progress.py
@@ -1,9 +1,11 @@
-"""Tells how long a body has made no progress that counts."""
+"""Tells how long a body has made no progress."""
 
 from dataclasses import dataclass
 
 #: A sixteenth of what a body needs. Single bytes, sent to keep a place, are no progress.
 STEP_SHARE = 1 / 16
+#: What has made no progress for so long gives way to others.
+MIN_STALL_S = 0.3
 
 
 @dataclass(slots=True)
--- a/src/worksramp/edge/request_memory.py
+++ b/src/worksramp/edge/request_memory.py
@@ -7,6 +7,8 @@
 
 import anyio
 
+from worksramp.edge.progress import MIN_STALL_S, Progress
+
 MB = 1_000_000
 #: Memory that a node takes without the bytes counted here: at most 64 MB, and a margin.
 NODE_MEMORY_MB = 72
@@ -20,6 +22,10 @@
 ITEMS_SHARE = 0.2
 #: Share of the rest for the connections of callers.
 CONNECTIONS_SHARE = 0.2
+#: Bodies up to this size need no room: they are part of what a connection may hold.
+SMALL_BODY_B = 16 * 1024
+#: Pause after which a request that waits for room looks again for bodies that make no progress.
+RECHECK_S = 0.1
 #: Longest wait for room. Callers take a node that has not read a request after a second for a failed one.
 MAX_WAIT_S = 0.5
 
@@ -87,35 +93,73 @@
 
 @dataclass(eq=False, slots=True)
 class RequestHolding:
-    """Room that one request has."""
+    """Room that one request has.
+
+    Attributes:
+        progress: arrival of the body while it is being read, None before and after.
+        has_given_way: whether the room went to others, since the body made no progress.
+    """
 
     memory: "RequestMemory"
     copies: int
     size_b: int = 0
+    progress: Progress | None = None
+    has_given_way: bool = False
+    _scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
+
+    @contextmanager
+    def reading(self) -> Iterator[None]:
+        """Mark the body as being read until the context is left.
+
+        Raises:
+            NoRoomError: the body made no progress, and its room was needed.
+        """
+        self.progress = Progress(anyio.current_time())
+        try:
+            with self._scope:
+                yield
+        finally:
+            self.progress = None
+        if self._scope.cancelled_caught:
+            raise NoRoomError
 
     async def reserve(self, body_b: int) -> None:
-        """Make room for a body before it is read, and wait for it for a short time.
+        """Make room for a body, and wait for it for a short time.
 
         Raises:
             NoRoomError: there is none.
         """
+        size_b = self._needed_b(body_b)
         with anyio.move_on_after(MAX_WAIT_S):
-            while not self.memory.resize(self, self.copies * body_b):
-                await self.memory.wait_freed()
+            while not self.memory.resize(self, size_b):
+                self.memory.displace(size_b - self.size_b)
+                with anyio.move_on_after(RECHECK_S):
+                    await self.memory.wait_freed()
             return
         self.memory.num_refused += 1
         raise NoRoomError
 
-    def cover(self, body_b: int) -> None:
-        """Make room for what has been read of a body, unless there is enough.
+    async def grow(self, received_b: int, expected_b: int) -> None:
+        """Make room for what has been read of a body, and wait for it for a short time.
+
+        Args:
+            expected_b: bytes of the whole body, 0 if it does not say so.
 
         Raises:
             NoRoomError: there is none.
         """
-        size_b = self.copies * body_b
-        if size_b > self.size_b and not self.memory.resize(self, size_b):
-            self.memory.num_refused += 1
-            raise NoRoomError
+        if self.progress is not None:
+            self.progress.note(received_b, expected_b, anyio.current_time())
+        if self._needed_b(received_b) > self.size_b:
+            await self.reserve(received_b)
+
+    def give_way(self) -> None:
+        """Stop reading the body."""
+        self.has_given_way = True
+        self._scope.cancel()
+
+    def _needed_b(self, body_b: int) -> int:
+        return 0 if body_b <= self.memory.uncounted_b else self.copies * body_b
 
 
 @dataclass(slots=True)
@@ -124,11 +168,16 @@
 
     Attributes:
         budget: bytes held at the same time. A single request may be larger while it is the only one.
+        uncounted_b: size up to which a body needs no room.
         num_refused: requests that got no room.
+        num_displaced: requests whose room went to others, since their bodies made no progress.
     """
 
     budget: ByteBudget
+    uncounted_b: int = 0
     num_refused: int = 0
+    num_displaced: int = 0
+    _holdings: set[RequestHolding] = field(default_factory=set)
     _freed: anyio.Event = field(default_factory=anyio.Event)
 
     @contextmanager
@@ -139,23 +188,51 @@
             copies: how many times the body is in memory at the same time.
         """
         holding = RequestHolding(self, copies)
+        self._holdings.add(holding)
         try:
             yield holding
         finally:
-            if holding.size_b:
-                self.budget.give_up(holding.size_b)
-                self._freed.set()
-                self._freed = anyio.Event()
+            self._holdings.discard(holding)
+            self.release(holding)
+
+    def release(self, holding: RequestHolding) -> None:
+        """Give up the room of a request."""
+        if holding.size_b:
+            self.budget.give_up(holding.size_b)
+            holding.size_b = 0
+            self._freed.set()
+            self._freed = anyio.Event()
 
     async def wait_freed(self) -> None:
         """Wait until a request has given up its room."""
         await self._freed.wait()
 
+    def displace(self, size_b: int) -> None:
+        """Stop reading bodies that make no progress, those first that have made none for longest.
+
+        Args:
+            size_b: bytes that another request needs.
+        """
+        missing_b = self.budget.used_b + size_b - self.budget.max_b
+        latest = anyio.current_time() - MIN_STALL_S
+        stalled = [
+            (holding.progress.since, holding)
+            for holding in self._holdings
+            if holding.progress is not None and holding.size_b and holding.progress.since <= latest
+        ]
+        for _, holding in sorted(stalled, key=lambda each: each[0]):
+            if missing_b <= 0:
+                return
+            missing_b -= holding.size_b
+            if not holding.has_given_way:
+                holding.give_way()
+                self.num_displaced += 1
+
     def resize(self, holding: RequestHolding, size_b: int) -> bool:
         """Change the room of a request; return False if there is not enough."""
         more_b = size_b - holding.size_b
         is_only_one = self.budget.used_b == holding.size_b
-        if not self.budget.has_room(more_b) and not is_only_one:
+        if more_b > 0 and not self.budget.has_room(more_b) and not is_only_one:
             return False
         self.budget.use(more_b)
         holding.size_b = size_b
--- a/tests/platform/test_clients_that_misbehave.py
+++ b/tests/platform/test_clients_that_misbehave.py
@@ -160,10 +160,12 @@
 
 
 FRONT_CROWDS: dict[str, tuple[int, Pieces]] = {
+    "large_bodies_one_byte_short": (12, crowd.announced(HOST, 33_000_000, 32_999_999)),
     "bodies_of_1_mb_one_byte_short": (150, crowd.announced(HOST, MB, MB - 1)),
     "bodies_of_200_kb_one_byte_short": (250, crowd.announced(HOST, 200_000, 199_999)),
     "bodies_of_60_kb_one_byte_short": (500, crowd.announced(HOST, 60_000, 59_999)),
     "chunks_of_1_mb_without_end": (150, crowd.chunked(HOST, MB)),
+    "chunks_of_200_kb_without_end": (250, crowd.chunked(HOST, 200_000)),
     "chunks_of_one_byte_without_end": (50, crowd.chunked(HOST, 10_000, chunk_b=1)),
     "chunks_far_over_the_limit": (12, crowd.chunked(HOST, 100_000_000)),
     "announced_far_over_the_limit": (80, crowd.announced(HOST, 2_000_000_000, 20_000_000)),
@@ -221,6 +223,23 @@
     anyio.run(main)
 
 
+def test_a_second_crowd_comes_while_the_first_is_refused(tmp_path: Path) -> None:
+    async def main() -> None:
+        async with running(tmp_path) as node:
+            first = Crowd(node.front, crowd.announced(HOST, 200_000, 199_999))
+            second = Crowd(node.front, crowd.chunked(HOST, 200_000))
+            with anyio.fail_after(HANG_S):
+                async with anyio.create_task_group() as group:
+                    group.start_soon(first.come, 150)
+                    group.start_soon(second.come, 150)
+            node.check()
+            assert await node.ask() == 200
+            first.leave()
+            await play(node, second, 100)
+
+    anyio.run(main)
+
+
 def test_clients_that_come_one_after_the_other_and_stay(tmp_path: Path) -> None:
     async def main() -> None:
         async with running(tmp_path) as node:
@@ -254,6 +273,32 @@
     anyio.run(main)
 
 
+def test_a_slow_request_inside_the_limits_is_served_beside_a_crowd(tmp_path: Path) -> None:
+    body, num_parts = bytes(12_000), 12
+
+    async def main() -> None:
+        async with running(tmp_path) as node:
+            group = Crowd(node.front, crowd.announced(HOST, 200_000, 199_999))
+
+            async def parts() -> AsyncIterator[bytes]:
+                for start in range(0, len(body), len(body) // num_parts):
+                    yield body[start : start + len(body) // num_parts]
+                    await anyio.sleep(0.2)
+
+            headers = {"host": HOST, "X-Worksramp-Attempt-Id": "slow", "Content-Length": str(len(body))}
+            with anyio.fail_after(HANG_S):
+                async with httpx.AsyncClient(timeout=HANG_S) as client, anyio.create_task_group() as tasks:
+                    tasks.start_soon(group.come, 250)
+                    answer = await client.post(
+                        f"http://{node.front}/checks/1", headers=headers, content=parts()
+                    )
+            assert (answer.status_code, answer.content) == (200, str(len(body)).encode())
+            node.check()
+            group.leave()
+
+    anyio.run(main)
+
+
 def test_a_body_of_the_largest_size_is_served_in_calm(tmp_path: Path) -> None:
     async def main() -> None:
         async with running(tmp_path) as node:
--- a/tests/unit/test_connection_limits.py
+++ b/tests/unit/test_connection_limits.py
@@ -40,13 +40,13 @@
     working = FakeConnection(math.inf, is_resting=False)
     limit = limit_with(working)
     assert not limit.make_place(1000.0)
-    assert (limit.num_refused, working.is_displaced) == (1, False)
+    assert not working.is_displaced and not limit.may_free_soon
 
 
 def test_a_body_that_still_comes_keeps_its_place() -> None:
     limit = limit_with(body := FakeConnection(10.0, is_resting=False))
-    assert not limit.make_place(10.4)
-    assert limit.make_place(10.6) and body.is_displaced
+    assert not limit.make_place(10.2) and limit.may_free_soon
+    assert limit.make_place(10.4) and body.is_displaced
 
 
 def test_a_stalled_body_goes_before_a_connection_that_came_later() -> None:
--- a/tests/unit/test_signal_times.py
+++ b/tests/unit/test_signal_times.py
@@ -12,6 +12,7 @@
 import pytest
 
 from worksramp.edge.asgi import Application
+from worksramp.edge.connection_limits import ConnectionLimit
 from worksramp.edge.node import EdgeNode
 from worksramp.edge.serve import serve_node
 from worksramp.signals import HANDLED, SignalInbox
@@ -40,6 +41,7 @@
             listen=listen, ready_listen="", metrics_listen="", node_id="n", zone="z"
         )
         self.table = SimpleNamespace(current=None)
+        self.connections = ConnectionLimit(8)
         self.signal_age_s = 0.0
 
     async def run(self) -> None:
