The HTTP server and its bounds are a package of their own, worksramp.serving

The gateway role is reached by clients too, and is to have the same bounds; the layers let neither role import the other. Files are moved and imports follow; nothing else changes.

--- a/src/worksramp/edge/node.py
+++ b/src/worksramp/edge/node.py
@@ -22,7 +22,6 @@
 from worksramp.duties.usage import UsageCounter, UsageTimes
 from worksramp.duties.usage_publisher import UsagePublisher
 from worksramp.duties.wall_time import WallTime
-from worksramp.edge.connection_limits import ConnectionLimit, max_connections
 from worksramp.edge.metrics import NodeMetrics
 from worksramp.edge.node_stop import NodeStop
 from worksramp.edge.observed_log import ObservedLog
@@ -33,18 +32,9 @@
     UnreadableRecord,
     VersionNamed,
 )
-from worksramp.edge.request_memory import (
-    SMALL_BODY_B,
-    ByteBudget,
-    RequestMemory,
-    max_item_bytes,
-    max_request_bytes,
-    max_unread_bytes,
-)
 from worksramp.edge.settings import DutyKind, EdgeSettings
 from worksramp.edge.shard import BatchShard, ShardContext
 from worksramp.edge.timing import gather_seconds, lease_times, poll_seconds
-from worksramp.edge.unread_answers import UnreadAnswers
 from worksramp.edge.worker_entries import WorkerEntries
 from worksramp.mechanisms import mechanism
 from worksramp.rollout.batch_service import BatchService, ServiceTimes
@@ -57,6 +47,16 @@
 from worksramp.routing.table import Route, RouteTable
 from worksramp.routing.worker_port import WorkerPort
 from worksramp.routing.workers import WorkerDirectory, WorkerEntry
+from worksramp.serving.connection_limits import ConnectionLimit, max_connections
+from worksramp.serving.request_memory import (
+    SMALL_BODY_B,
+    ByteBudget,
+    RequestMemory,
+    max_item_bytes,
+    max_request_bytes,
+    max_unread_bytes,
+)
+from worksramp.serving.unread_answers import UnreadAnswers
 
 BOOT_CHARACTERS = 8
 #: The caller goes to another node then.
--- a/src/worksramp/edge/serve.py
+++ b/src/worksramp/edge/serve.py
@@ -10,13 +10,13 @@
 import msgspec
 import structlog
 
-from worksramp.edge.asgi import Application
-from worksramp.edge.connection_limits import MAX_SIDE_CONNECTIONS, ConnectionLimit
-from worksramp.edge.http_server import HttpServer, Listener
 from worksramp.edge.node import EdgeNode
 from worksramp.edge.settings import EdgeSettings
 from worksramp.mechanisms import MECHANISMS, UnknownMechanismError
 from worksramp.routing.table import CallerLimits
+from worksramp.serving.asgi import Application
+from worksramp.serving.connection_limits import MAX_SIDE_CONNECTIONS, ConnectionLimit
+from worksramp.serving.server import HttpServer, Listener
 from worksramp.settings_error import SettingsError
 from worksramp.signals import SignalInbox
 
--- /dev/null
+++ b/src/worksramp/serving/__init__.py
@@ -0,0 +1,1 @@
+"""Serve HTTP to callers, within the memory and the descriptors of the machine."""
--- a/src/worksramp/edge/caller_connection.py
+++ b/src/worksramp/serving/caller_connection.py
@@ -11,15 +11,15 @@
 import h11
 import structlog
 
-from worksramp.edge.asgi import Application, Headers, Message, Scope
-from worksramp.edge.connection_limits import (
+from worksramp.routing.table import CallerLimits
+from worksramp.serving.asgi import Application, Headers, Message, Scope
+from worksramp.serving.connection_limits import (
     BODY_RECEIVE_BUFFER_B,
     READ_B,
     RECEIVE_BUFFER_B,
     REQUEST_LINE_B,
 )
-from worksramp.edge.progress import Progress
-from worksramp.routing.table import CallerLimits
+from worksramp.serving.progress import Progress
 
 Address = tuple[str, int]
 
--- a/src/worksramp/edge/connection_limits.py
+++ b/src/worksramp/serving/connection_limits.py
@@ -10,8 +10,8 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
-from worksramp.edge.progress import MIN_STALL_S
-from worksramp.edge.request_memory import connection_bytes
+from worksramp.serving.progress import MIN_STALL_S
+from worksramp.serving.request_memory import connection_bytes
 
 #: Size of the kernel's buffer for bytes that have arrived; it takes twice as much for its own records.
 RECEIVE_BUFFER_B = 16 * 1024
--- a/src/worksramp/edge/request_memory.py
+++ b/src/worksramp/serving/request_memory.py
@@ -7,7 +7,7 @@
 
 import anyio
 
-from worksramp.edge.progress import MIN_STALL_S, Progress
+from worksramp.serving.progress import MIN_STALL_S, Progress
 
 MB = 1_000_000
 #: Memory that a node takes without the bytes counted here: at most 64 MB, and a margin.
--- a/src/worksramp/edge/http_server.py
+++ b/src/worksramp/serving/server.py
@@ -9,10 +9,10 @@
 import anyio.abc
 import structlog
 
-from worksramp.edge.asgi import Application
-from worksramp.edge.caller_connection import CallerConnection
-from worksramp.edge.connection_limits import READ_B, RECEIVE_BUFFER_B, SEND_BUFFER_B, ConnectionLimit
 from worksramp.routing.table import CallerLimits
+from worksramp.serving.asgi import Application
+from worksramp.serving.caller_connection import CallerConnection
+from worksramp.serving.connection_limits import READ_B, RECEIVE_BUFFER_B, SEND_BUFFER_B, ConnectionLimit
 
 BACKLOG = 1024
 #: Pause after an error of accepting, such as a lack of descriptors.
--- a/src/worksramp/edge/unread_answers.py
+++ b/src/worksramp/serving/unread_answers.py
@@ -4,8 +4,8 @@
 
 import anyio
 
-from worksramp.edge.asgi import Message, Send
-from worksramp.edge.request_memory import ByteBudget
+from worksramp.serving.asgi import Message, Send
+from worksramp.serving.request_memory import ByteBudget
 
 #: Smaller bodies are taken by the kernel, whatever their callers read.
 COUNTED_B = 16 * 1024
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -21,7 +21,6 @@
     Partition,
     StoredRecord,
 )
-from worksramp.edge.asgi import Receive, Scope, Send, json_response, read_body, send_response, send_stream
 from worksramp.routing.worker_port import (
     OrderHeldAlready,
     OrderTaken,
@@ -29,6 +28,7 @@
     VersionOrder,
     WorkerRequest,
 )
+from worksramp.serving.asgi import Receive, Scope, Send, json_response, read_body, send_response, send_stream
 from worksramp_emulator.batch_fleet import BatchFleet, FleetPort
 from worksramp_emulator.shared_log import LogStore
 
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -13,10 +13,10 @@
 from worksramp_platform.documents import StoreRecords, decode_table
 
 from worksramp.coordination.shared_log import KeyedRecord
-from worksramp.edge.asgi import Message, Receive, Scope, Send
 from worksramp.edge.node import EdgeNode
 from worksramp.edge.settings import EdgeSettings, StoreSettings
 from worksramp.logs import configure_logs
+from worksramp.serving.asgi import Message, Receive, Scope, Send
 from worksramp_emulator.batch_fleet import BatchFleet, FleetPort, FleetWorker, complete_text
 from worksramp_emulator.shared_log import LogClient, LogStore
 
--- a/tests/platform/test_clients_that_misbehave.py
+++ b/tests/platform/test_clients_that_misbehave.py
@@ -26,8 +26,8 @@
 from tests.platform.test_callers import CONFIGURATION, HOST, RECORDS
 from tests.platform.test_process import PLATFORM, SETTINGS, _serve, free_address
 from worksramp.coordination.shared_log import KeyedRecord
-from worksramp.edge.asgi import Receive, Scope, Send, read_body, send_response
-from worksramp.edge.asgi import Response as AsgiResponse
+from worksramp.serving.asgi import Receive, Scope, Send, read_body, send_response
+from worksramp.serving.asgi import Response as AsgiResponse
 from worksramp_emulator.shared_log import LogStore
 
 pytestmark = [
--- a/tests/platform/test_http_server.py
+++ b/tests/platform/test_http_server.py
@@ -8,10 +8,10 @@
 import pytest
 
 from tests.platform.test_process import free_address
-from worksramp.edge.asgi import Application, Receive, Response, Scope, Send, read_body, send_response
-from worksramp.edge.connection_limits import ConnectionLimit
-from worksramp.edge.http_server import HttpServer, Listener
 from worksramp.routing.table import CallerLimits
+from worksramp.serving.asgi import Application, Receive, Response, Scope, Send, read_body, send_response
+from worksramp.serving.connection_limits import ConnectionLimit
+from worksramp.serving.server import HttpServer, Listener
 
 LIMITS = CallerLimits(max_body_bytes=400_000, header_timeout_seconds=0.3, idle_timeout_seconds=0.6)
 HANG_S = 20.0
--- a/tests/platform/test_memory_of_requests.py
+++ b/tests/platform/test_memory_of_requests.py
@@ -14,7 +14,7 @@
 from tests.platform.test_callers import run_scenario as run_in_process
 from tests.platform.test_process import Running, run_scenario
 from worksramp.coordination.shared_log import KeyedRecord
-from worksramp.edge.asgi import Message
+from worksramp.serving.asgi import Message
 
 BODY_B = 16_000_000
 NUM_REQUESTS = 8
--- a/tests/unit/test_connection_limits.py
+++ b/tests/unit/test_connection_limits.py
@@ -5,8 +5,8 @@
 
 import pytest
 
-from worksramp.edge.connection_limits import MIN_CONNECTIONS, ConnectionLimit, max_connections
-from worksramp.edge.progress import Progress
+from worksramp.serving.connection_limits import MIN_CONNECTIONS, ConnectionLimit, max_connections
+from worksramp.serving.progress import Progress
 
 
 @dataclass(eq=False)
--- a/tests/unit/test_forward.py
+++ b/tests/unit/test_forward.py
@@ -10,7 +10,6 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from worksramp.edge.asgi import Message, send_stream
 from worksramp.logs import configure_logs
 from worksramp.routing.attempts import LiveRequest, WholeAnswer
 from worksramp.routing.forward import Forwarder, ForwardOutcome, MayHaveRun, NotRun
@@ -28,6 +27,7 @@
     WorkerUnreachableError,
 )
 from worksramp.routing.workers import WorkerDirectory, WorkerEntry
+from worksramp.serving.asgi import Message, send_stream
 from worksramp_emulator.simulation.clock import run_simulated
 
 DEADLINE_SECONDS = 1.0
--- a/tests/unit/test_request_memory.py
+++ b/tests/unit/test_request_memory.py
@@ -5,7 +5,7 @@
 import anyio
 import pytest
 
-from worksramp.edge.request_memory import (
+from worksramp.serving.request_memory import (
     ByteBudget,
     NoRoomError,
     RequestHolding,
--- a/tests/unit/test_signal_times.py
+++ b/tests/unit/test_signal_times.py
@@ -11,10 +11,10 @@
 import anyio
 import pytest
 
-from worksramp.edge.asgi import Application
-from worksramp.edge.connection_limits import ConnectionLimit
 from worksramp.edge.node import EdgeNode
 from worksramp.edge.serve import serve_node
+from worksramp.serving.asgi import Application
+from worksramp.serving.connection_limits import ConnectionLimit
 from worksramp.signals import HANDLED, SignalInbox
 
 BUSY_S = 0.4
--- a/tests/unit/test_unread_answers.py
+++ b/tests/unit/test_unread_answers.py
@@ -5,9 +5,9 @@
 import anyio
 import pytest
 
-from worksramp.edge.asgi import Message, Response, Send, send_response, send_stream
-from worksramp.edge.request_memory import ByteBudget
-from worksramp.edge.unread_answers import PART_B, AnswerUnreadError, UnreadAnswers
+from worksramp.serving.asgi import Message, Response, Send, send_response, send_stream
+from worksramp.serving.request_memory import ByteBudget
+from worksramp.serving.unread_answers import PART_B, AnswerUnreadError, UnreadAnswers
 from worksramp_emulator.simulation.clock import run_simulated
 
 BODY_B = 1_000_000
