Bodies and connections of callers of the gateway role are bounded too

What callers would see: the same as of the edge role. Each body was bounded at 4 MB, their sum and the number of connections were not: 250 bodies that stop short of their end are 1 GB.

The same server (worksramp.serving) serves it, so the places of connections follow from memory_mb (new setting, default 1024: 1,190 connections) and from descriptors. A middleware holds the room of a body until its response is sent; a body over the limit is refused from its head, one without room gets 503 not_run at once, one that makes no progress gives way, and 15 s without a part end it (408; there was no end before).

--- a/src/worksramp/gateway/http.py
+++ b/src/worksramp/gateway/http.py
@@ -10,9 +10,11 @@
 from starlette.responses import Response
 
 from worksramp.gateway.backend import GatewayBackend
+from worksramp.gateway.body_room import MAX_PAUSE_S, BodyTooLargeError, read_bounded
 from worksramp.outcomes import InterruptedStepError, NotStartedError, StepError
 from worksramp.routing.identity import digest_of_key
 from worksramp.routing.limits import DEFAULT_RETRY_AFTER_SECONDS
+from worksramp.serving.request_memory import NoRoomError
 from worksramp.settings import ApiKey, KeyRole
 
 MAX_BODY_BYTES = 4 * 1024 * 1024
@@ -20,11 +22,13 @@
 MAX_DIGITS = 15
 DEADLINE_HEADER = "x-deadline-seconds"
 BEARER_PREFIX = "Bearer "
+BODY_STEP = "gateway.body"
 
 BAD_REQUEST = 400
 UNAUTHORIZED = 401
 FORBIDDEN = 403
 NOT_FOUND = 404
+REQUEST_TIMEOUT = 408
 CONFLICT = 409
 TOO_LARGE = 413
 UNPROCESSABLE = 422
@@ -160,16 +164,18 @@
     """Return the body of a request.
 
     Raises:
-        RequestError: the body is larger than `MAX_BODY_BYTES`.
+        RequestError: the body is larger than `MAX_BODY_BYTES`, comes too slowly, or there is no room for it.
     """
-    parts: list[bytes] = []
-    num_bytes = 0
-    async for part in request.stream():
-        num_bytes += len(part)
-        if num_bytes > MAX_BODY_BYTES:
-            raise invalid("(body)", f"larger than {MAX_BODY_BYTES} bytes", TOO_LARGE)
-        parts.append(part)
-    return b"".join(parts)
+    try:
+        return await read_bounded(request, MAX_BODY_BYTES)
+    except BodyTooLargeError:
+        raise invalid("(body)", f"larger than {MAX_BODY_BYTES} bytes", TOO_LARGE) from None
+    except TimeoutError:
+        raise invalid("(body)", f"no more within {MAX_PAUSE_S:.0f} s", REQUEST_TIMEOUT) from None
+    except NoRoomError:
+        reason = "too many bytes of other requests"
+        body = ErrorBody("not_run", reason, step=BODY_STEP, retry_after_seconds=DEFAULT_RETRY_AFTER_SECONDS)
+        raise RequestError(UNAVAILABLE, body) from None
 
 
 async def read_struct(request: Request, struct_type: type[StructT]) -> StructT:
--- a/src/worksramp/node/main.py
+++ b/src/worksramp/node/main.py
@@ -8,13 +8,15 @@
 import anyio.abc
 import httpx
 import structlog
-from hypercorn.asyncio import serve
-from hypercorn.config import Config
 
 from worksramp.backends.http import http_platform
 from worksramp.gateway.app import make_application
+from worksramp.gateway.http import MAX_BODY_BYTES
 from worksramp.logs import configure_logs
 from worksramp.node.node import Identity, Node
+from worksramp.routing.table import CallerLimits
+from worksramp.serving.connection_limits import ConnectionLimit, max_connections
+from worksramp.serving.server import HttpServer, Listener
 from worksramp.settings import NodeSettings
 from worksramp.transport.tcp import TcpTransport
 
@@ -23,6 +25,7 @@
 KEEPALIVE_SECONDS = 30.0
 HTTP_SHUTDOWN_SECONDS = 10.0
 INSTANCE_SUFFIX_CHARACTERS = 8
+LIMITS = CallerLimits(max_body_bytes=MAX_BODY_BYTES)
 
 logger = structlog.get_logger()
 
@@ -50,18 +53,15 @@
 
 
 async def _run_with_http(node: Node) -> None:
-    config = Config()
-    config.bind = [node.settings.listen]
-    config.graceful_timeout = HTTP_SHUTDOWN_SECONDS
-    config.accesslog = None
-    config.errorlog = None
+    connections = ConnectionLimit(max_connections(node.settings.memory_mb))
     stop_http, http_ended = anyio.Event(), anyio.Event()
     async with anyio.create_task_group() as group:
         application = make_application(node, group)
+        server = HttpServer(application, [Listener(node.settings.listen, connections)], lambda: LIMITS)
         group.start_soon(_stop_on_signal, node, group.cancel_scope)
 
         async def serve_http() -> None:
-            await serve(application, config, shutdown_trigger=stop_http.wait)  # type: ignore[arg-type]
+            await server.serve(stop_http, HTTP_SHUTDOWN_SECONDS)
             http_ended.set()
 
         group.start_soon(serve_http)
--- a/src/worksramp/settings.py
+++ b/src/worksramp/settings.py
@@ -75,6 +75,7 @@
         subset_size: workers of each group that this node uses.
         drain_seconds: longest wait for requests in flight at a planned stop.
         default_deadline_seconds: deadline of a request that has none of its own.
+        memory_mb: memory that the process may take, in MB, shared out to bodies and connections of callers.
         log_level: lowest level that is logged, one of `worksramp.logs.LEVELS`.
     """
 
@@ -89,6 +90,7 @@
     subset_size: int = DEFAULT_SUBSET_SIZE
     drain_seconds: float = 60.0
     default_deadline_seconds: float = 60.0
+    memory_mb: float = 1024.0
     log_level: str = "info"
 
 
@@ -153,7 +155,13 @@
 
 
 def _check_positive(file: str, settings: NodeSettings) -> None:
-    for path in ("num_ledger_shards", "subset_size", "drain_seconds", "default_deadline_seconds"):
+    for path in (
+        "num_ledger_shards",
+        "subset_size",
+        "drain_seconds",
+        "default_deadline_seconds",
+        "memory_mb",
+    ):
         value = getattr(settings, path)
         if not math.isfinite(value) or value <= 0:
             raise SettingsError(file, path, f"must be greater than 0 and finite, is {value}")
--- a/tests/unit/test_settings.py
+++ b/tests/unit/test_settings.py
@@ -46,6 +46,7 @@
         ('node_id = "n"', 'node_id = "n"\nroles = ["gateway", "gateway"]', "roles"),
         ('node_id = "n"', 'node_id = "n"\ndrain_seconds = nan', "drain_seconds"),
         ('node_id = "n"', 'node_id = "n"\ndrain_seconds = inf', "drain_seconds"),
+        ('node_id = "n"', 'node_id = "n"\nmemory_mb = 0', "memory_mb"),
         ('node_id = "n"', 'node_id = "n"\nnum_ledger_shards = 10000000000', "num_ledger_shards"),
         ('node_id = "n"', 'node_id = "n"\nlog_level = "loud"', "log_level"),
         ('peer_listen = "127.0.0.1:8001"', 'peer_listen = "127.0.0.1:8000"', "peer_listen"),
