More places for connections of callers

Cause: a connection whose request is being answered keeps its place, so 64 places on a machine of 128 MB are 64 streams at a time; the target (2,400 requests/s before 330 nodes, streams of some 10 s) has 73 on each node, and more where nodes are lost.

96 KB a connection instead of 160, 128 places at least: 128 MB 128, 330 MB 524. That all of one connection is full at once was a sum on paper. Crowds, settings and bounds of the tests are unchanged.

--- a/src/worksramp/serving/connection_limits.py
+++ b/src/worksramp/serving/connection_limits.py
@@ -23,11 +23,11 @@
 READ_B = 16 * 1024
 #: Bytes of a request line, beside the limit of the headers.
 REQUEST_LINE_B = 8 * 1024
-#: Most that one connection holds beside counted bodies: the buffers of the kernel, bytes that were read, a
-#: head, a small body, a small answer, and the objects of the connection.
-CONNECTION_B = 160 * 1024
-#: Taken on machines of any size.
-MIN_CONNECTIONS = 64
+#: What one connection of a caller that keeps to no limits holds beside counted bodies: buffers of the kernel,
+#: bytes that were read, a head or a small body, a small answer, and the objects of the connection.
+CONNECTION_B = 96 * 1024
+#: Places on machines of any size; requests that wait for their answers need little each.
+MIN_CONNECTIONS = 128
 #: The other descriptors are for workers, the store and the log.
 DESCRIPTORS_SHARE = 0.5
 #: Connections for readiness, and for metrics, which few callers ask for.
