A crowd that is there from a node's first moment is a test too

150 clients with bodies of 1 MB that stop one byte short come while the node starts, loads its records and takes the lease. Same crowd and bound as the others.

--- a/tests/platform/test_clients_that_misbehave.py
+++ b/tests/platform/test_clients_that_misbehave.py
@@ -123,7 +123,10 @@
 
 @asynccontextmanager
 async def running(
-    tmp_path: Path, max_descriptors: int = MAX_DESCRIPTORS, idle_timeout_ms: int = 3000
+    tmp_path: Path,
+    max_descriptors: int = MAX_DESCRIPTORS,
+    idle_timeout_ms: int = 3000,
+    is_awaited: bool = True,
 ) -> AsyncIterator[Node]:
     addresses = {name: free_address() for name in ("front", "ready", "metrics", "store", "worker")}
     limits: dict[str, Any] = {**LIMITS, "idleTimeoutMs": idle_timeout_ms}
@@ -151,7 +154,8 @@
         resource.prlimit(process.pid, resource.RLIMIT_NOFILE, (max_descriptors, max_descriptors))
         node = Node(process, addresses, max_descriptors)
         try:
-            await node.wait_ready()
+            if is_awaited:
+                await node.wait_ready()
             yield node
         finally:
             process.kill()
@@ -240,6 +244,26 @@
     anyio.run(main)
 
 
+def test_a_crowd_comes_while_a_node_starts_and_takes_the_lease(tmp_path: Path) -> None:
+    num_clients, pieces = FRONT_CROWDS["bodies_of_1_mb_one_byte_short"]
+
+    async def main() -> None:
+        async with running(tmp_path, is_awaited=False) as node:
+            group = Crowd(node.front, pieces)
+            with anyio.fail_after(HANG_S):
+                # Clients that find nobody come again.
+                while sum(not client.is_ended for client in group.clients) < num_clients // 4:
+                    group.leave()
+                    await group.come(num_clients)
+            await node.wait_ready()
+            node.check()
+            group.leave()
+            await node.wait_connections_closed()
+            assert await node.ask() == 200
+
+    anyio.run(main)
+
+
 def test_clients_that_come_one_after_the_other_and_stay(tmp_path: Path) -> None:
     async def main() -> None:
         async with running(tmp_path) as node:
