--- a/src/worksramp/serving/caller_connection.py
+++ b/src/worksramp/serving/caller_connection.py
@@ -94,7 +94,7 @@
 
     @property
     def is_resting(self) -> bool:
-        """Whether no request has begun on the connection, or all that is left of one is being dropped."""
+        """Whether no request is being read or answered; the rest of a refused one may be being dropped."""
         return self._stage in (Stage.HEAD, Stage.REST)
 
     def displace(self) -> None:
--- a/src/worksramp/serving/connection_limits.py
+++ b/src/worksramp/serving/connection_limits.py
@@ -58,7 +58,7 @@
 
     @property
     def is_resting(self) -> bool:
-        """Whether no request has begun on it."""
+        """Whether no request is being read or answered on it."""
 
     def displace(self) -> None:
         """End the connection."""
--- a/src/worksramp/serving/server.py
+++ b/src/worksramp/serving/server.py
@@ -17,7 +17,7 @@
 BACKLOG = 1024
 #: Pause after an error of accepting, such as a lack of descriptors.
 ACCEPT_PAUSE_S = 0.1
-#: Longest wait for a place, while which no other connection is accepted.
+#: Longest wait for a place; no other connection of the address is accepted meanwhile.
 MAX_WAIT_S = 0.5
 #: Pause between two looks for a place.
 RECHECK_S = 0.05
